--- /dev/null
+++ b/cmake/WasabistairTargets.cmake
@@ -0,0 +1,31 @@
+# One helper per kind of target, so that each folder's CMakeLists stays a list of sources.
+
+# g++ 12 reports false -Wrestrict findings inside std::string (GCC bug 105329).
+set(WASABISTAIR_WARNINGS -Wall -Wextra -Wno-restrict)
+
+function(add_wasabistair_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(${name} STATIC ${ARG_SOURCES})
+  target_compile_options(${name} PRIVATE ${WASABISTAIR_WARNINGS})
+  target_include_directories(${name} PUBLIC ${CMAKE_SOURCE_DIR}/src/libs)
+  target_link_libraries(${name} PUBLIC ${ARG_DEPENDS} Threads::Threads)
+endfunction()
+
+function(add_wasabistair_executable name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_compile_options(${name} PRIVATE ${WASABISTAIR_WARNINGS})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+endfunction()
+
+function(add_wasabistair_test name)
+  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
+  add_wasabistair_executable(${name} SOURCES ${ARG_SOURCES} DEPENDS ${ARG_DEPENDS} doctest::doctest)
+  add_test(NAME ${name} COMMAND ${name})
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 600)
+  endif()
+  # RapidCheck takes its seed from here, so that every run has the same verdict.
+  set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT}
+    ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=300;WASABISTAIR_BIN=${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
+endfunction()
--- /dev/null
+++ b/src/app/configurationfeed.cpp
@@ -0,0 +1,258 @@
+#include "configurationfeed.h"
+
+#include <base/log.h>
+#include <platform/vmlist.h>
+
+#include <algorithm>
+
+namespace Wasabistair::App {
+
+namespace {
+
+constexpr std::uint64_t randomMultiplier = 6364136223846793005U;
+constexpr std::uint64_t randomIncrement = 1442695040888963407U;
+constexpr int randomShift = 33;
+constexpr std::int64_t idleMs = 1'000;
+constexpr std::int64_t retryLoadMs = 200;
+constexpr std::int64_t noHeadYetMs = 500;
+
+} // namespace
+
+ConfigurationFeed::ConfigurationFeed(Platform::ObjectStore &store, const Base::Clock &clock, Base::Timeline &timeline, Nodes::Mesh &mesh,
+    Nodes::GenerationStore &generations, Platform::SlotClaim &slot, Engine &engine, std::size_t seeds, std::uint64_t randomSeed)
+    : store_(store)
+    , clock_(clock)
+    , timeline_(timeline)
+    , mesh_(mesh)
+    , generations_(generations)
+    , slot_(slot)
+    , engine_(engine)
+    , seeds_(seeds)
+    , random_(randomSeed)
+{}
+
+ConfigurationFeed::~ConfigurationFeed()
+{
+    stop();
+}
+
+void ConfigurationFeed::start()
+{
+    loader_ = std::make_unique<Base::Worker>([this] { return loadStep(); });
+    lister_ = std::make_unique<Base::Worker>([this] { return listStep(); });
+    watcher_ = std::make_unique<Base::Worker>([this] { return watchStep(); });
+}
+
+void ConfigurationFeed::stop()
+{
+    stopping_ = true;
+    watcher_.reset();
+    lister_.reset();
+    loader_.reset();
+}
+
+std::int64_t ConfigurationFeed::jittered(std::int64_t milliseconds)
+{
+    std::uint64_t before = random_.load();
+    std::uint64_t next = 0;
+    do {
+        next = before * randomMultiplier + randomIncrement;
+    } while (!random_.compare_exchange_weak(before, next));
+    const std::int64_t half = std::max<std::int64_t>(1, milliseconds / 2);
+    return half + static_cast<std::int64_t>((next >> randomShift) % static_cast<std::uint64_t>(milliseconds - half + 1));
+}
+
+bool ConfigurationFeed::asksPlatform() const
+{
+    return mesh_.isRelay() || !mesh_.hearsRelay();
+}
+
+void ConfigurationFeed::notePlatform(bool reachable)
+{
+    if (reachable) {
+        platformAsked_ = true;
+        backoffMs_ = firstBackoffMs;
+        slot_.observeContact();
+    } else {
+        backoffMs_ = std::min(maxBackoffMs, backoffMs_ * 2);
+    }
+    if (platformReachable_.exchange(reachable) != reachable) {
+        timeline_.record(reachable ? Base::EventKind::PlatformUp : Base::EventKind::PlatformDown, generations_.current().generation, "platform", "");
+    }
+}
+
+std::int64_t ConfigurationFeed::watchStep()
+{
+    const bool direct = asksPlatform();
+    const Platform::Version known = direct ? headVersion_ : Platform::noVersion;
+    const auto value
+        = Platform::tryStore([&] { return known == Platform::noVersion ? store_.get(Platform::headKey) : store_.watch(Platform::headKey, known, watchMs); });
+    if (!value) {
+        const bool nothingPublished = value.error->failure == Platform::PlatformFailure::NotFound;
+        notePlatform(nothingPublished);
+        return nothingPublished ? noHeadYetMs : jittered(backoffMs_);
+    }
+    notePlatform(true);
+    if (value.value->version != headVersion_ || !direct) {
+        headVersion_ = value.value->version;
+        if (const auto head = Platform::decodeHead(value.value->value)) {
+            {
+                const std::lock_guard lock(mutex_);
+                head_ = *head;
+            }
+            offer({ head->current().generation, head->current().manifestDigest });
+        }
+    }
+    return direct ? 0 : jittered(servedIntervalMs);
+}
+
+std::int64_t ConfigurationFeed::listStep()
+{
+    const bool direct = asksPlatform() || list().version == Platform::noVersion;
+    const auto listed = Platform::tryStore([&] { return store_.vms(); });
+    if (!listed) {
+        notePlatform(false);
+        return jittered(std::max(listIntervalMs, backoffMs_.load()));
+    }
+    notePlatform(true);
+    takeList(*listed.value);
+    return direct ? jittered(listIntervalMs) : jittered(servedIntervalMs);
+}
+
+void ConfigurationFeed::listSeen(const Platform::VmList &list)
+{
+    takeList(list);
+}
+
+void ConfigurationFeed::takeList(const Platform::VmList &list)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (list.version <= list_.version) {
+            return;
+        }
+        list_ = list;
+    }
+    slot_.observeList(list);
+    mesh_.setList(list);
+    engine_.setList(list);
+}
+
+Platform::VmList ConfigurationFeed::list() const
+{
+    const std::lock_guard lock(mutex_);
+    return list_;
+}
+
+bool ConfigurationFeed::platformReachable() const
+{
+    return platformReachable_;
+}
+
+void ConfigurationFeed::generationSeen(std::uint64_t generation, const std::string &manifestDigest)
+{
+    offer({ generation, manifestDigest });
+}
+
+void ConfigurationFeed::offer(const Nodes::GenerationId &candidate)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (candidate.generation <= generations_.current().generation) {
+            return;
+        }
+        if (!candidate_ || candidate.generation > candidate_->generation) {
+            candidate_ = candidate;
+        }
+    }
+    if (loader_) {
+        loader_->wake();
+    }
+}
+
+/// A process without any generation asks the platform, or more than half of the others, before it
+/// takes one: fewer could all be behind what an earlier process under this address had in force.
+bool ConfigurationFeed::mayTakeFirst() const
+{
+    if (platformAsked_) {
+        return true;
+    }
+    const Platform::VmList known = list();
+    const auto isEntry = [](const Steering::Vm &vm) { return vm.kind == Steering::VmKind::Entry; };
+    const auto listed = static_cast<std::size_t>(std::count_if(known.vms.begin(), known.vms.end(), isEntry));
+    const std::size_t others = listed > 0 ? listed - 1 : seeds_;
+    // Ordinary VMs connect to their zone's relays only, which know what is in force elsewhere.
+    const std::size_t needed = std::min(others / 2 + 1, mesh_.status().linksWanted > 0 ? mesh_.status().linksWanted : others / 2 + 1);
+    return mesh_.peersHeard() >= needed;
+}
+
+/// Other VMs have a generation in force some seconds after it was published; until then a process that
+/// starts with it must not use units which another VM may still count as its own.
+Base::MonotonicMs ConfigurationFeed::firstHoldMs(const Nodes::GenerationId &candidate) const
+{
+    const std::lock_guard lock(mutex_);
+    const bool known = !head_.history.empty() && head_.current().generation == candidate.generation;
+    if (!known) {
+        return Steering::unitGainHoldMs;
+    }
+    if (head_.history.size() == 1) {
+        return 0;
+    }
+    const std::int64_t age = clock_.wall() - head_.current().wall;
+    return std::clamp<std::int64_t>(Steering::unitGainHoldMs - age, 0, Steering::unitGainHoldMs);
+}
+
+std::int64_t ConfigurationFeed::loadStep()
+{
+    std::optional<Nodes::GenerationId> candidate;
+    {
+        const std::lock_guard lock(mutex_);
+        candidate = candidate_;
+    }
+    const Nodes::GenerationId current = generations_.current();
+    if (!candidate || candidate->generation <= current.generation) {
+        return idleMs;
+    }
+    if (current.generation == 0 && !mayTakeFirst()) {
+        return retryLoadMs;
+    }
+    const auto outcome = generations_.take(*candidate, [&](const std::string &digest) { return fetch(digest, candidate->generation); });
+    switch (outcome.status) {
+    case Nodes::TakeStatus::Taken:
+        engine_.setConfiguration(generations_.configuration(), firstHoldMs(*candidate));
+        engine_.rebuild();
+        mesh_.setState(candidate->generation, candidate->manifestDigest, engine_.isReady() && !engine_.isDraining());
+        timeline_.record(Base::EventKind::GenerationInForce, candidate->generation, "configuration", "");
+        return 0;
+    case Nodes::TakeStatus::Refused:
+        if (refusalReported_ != candidate->generation) {
+            refusalReported_ = candidate->generation;
+            const std::string cause = outcome.error ? std::string(Platform::toString(outcome.error->failure)) : "refused before";
+            timeline_.record(Base::EventKind::GenerationRefused, candidate->generation, "configuration", cause);
+        }
+        return idleMs;
+    case Nodes::TakeStatus::Incomplete:
+        return retryLoadMs;
+    case Nodes::TakeStatus::NotNewer:
+        return idleMs;
+    }
+    return idleMs;
+}
+
+std::optional<std::string> ConfigurationFeed::fetch(const std::string &digest, std::uint64_t generation)
+{
+    const bool platformFirst = asksPlatform() && platformReachable_;
+    const auto fromPlatform = [&]() -> std::optional<std::string> {
+        const auto value = Platform::tryStore([&] { return store_.get(Platform::partKey(digest)); });
+        return value ? std::optional(value.value->value) : std::nullopt;
+    };
+    if (platformFirst) {
+        if (auto bytes = fromPlatform()) {
+            return bytes;
+        }
+    }
+    auto bytes = mesh_.fetchPart(digest, generation, partTimeoutMs);
+    return bytes || platformFirst ? bytes : fromPlatform();
+}
+
+} // namespace Wasabistair::App
--- /dev/null
+++ b/src/app/engine.cpp
@@ -0,0 +1,245 @@
+#include "engine.h"
+
+#include <steering/decision.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace Wasabistair::App {
+
+namespace {
+
+using Callers::Route;
+using Steering::Refusal;
+using Steering::RoutingTable;
+
+constexpr std::uint64_t randomStep = 0x9e3779b97f4a7c15U;
+/// Waiters look again this often, in case headroom appeared without a release.
+constexpr std::int64_t waitSliceMs = 20;
+
+std::shared_ptr<const RoutingTable> emptyTable(const std::string &region)
+{
+    auto table = std::make_shared<RoutingTable>();
+    table->configuration = std::make_shared<const Steering::Configuration>();
+    table->ownRegion = region;
+    return table;
+}
+
+const Steering::ServerEntry *findServer(const RoutingTable &table, const std::string &place, const std::string &server)
+{
+    for (const Steering::PlaceEntry &entry : table.places) {
+        if (entry.place.name != place) {
+            continue;
+        }
+        for (const Steering::ServerEntry &candidate : entry.servers) {
+            if (candidate.vm.id == server) {
+                return &candidate;
+            }
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+Engine::Engine(const Base::Clock &clock, Recorder &recorder, Platform::SlotClaim &slot, std::string vm, std::string region, std::uint64_t randomSeed)
+    : clock_(clock)
+    , recorder_(recorder)
+    , slot_(slot)
+    , vm_(std::move(vm))
+    , random_(randomSeed)
+    , table_(emptyTable(region))
+{
+    inputs_.configuration = std::make_shared<const Steering::Configuration>();
+    inputs_.ownRegion = std::move(region);
+}
+
+void Engine::setConfiguration(std::shared_ptr<const Steering::Configuration> configuration, Base::MonotonicMs firstHoldMs)
+{
+    const std::lock_guard lock(inputMutex_);
+    if (configuration->generation > inputs_.configuration->generation) {
+        inputs_.configuration = std::move(configuration);
+        inputs_.firstHoldMs = firstHoldMs;
+        changed_ = true;
+    }
+}
+
+void Engine::setList(const Platform::VmList &list)
+{
+    const std::lock_guard lock(inputMutex_);
+    if (inputs_.vms != list.vms) {
+        inputs_.vms = list.vms;
+        changed_ = true;
+    }
+}
+
+void Engine::setUnavailable(std::vector<std::string> vms)
+{
+    if (draining_) {
+        vms.push_back(vm_);
+    }
+    const std::lock_guard lock(inputMutex_);
+    if (inputs_.unavailableEntryVms != vms) {
+        inputs_.unavailableEntryVms = std::move(vms);
+        changed_ = true;
+    }
+}
+
+void Engine::setDraining()
+{
+    draining_ = true;
+}
+
+void Engine::rebuild()
+{
+    const std::lock_guard lock(inputMutex_);
+    const auto slot = slot_.usable();
+    const Base::MonotonicMs gainHoldUntil = slot_.gainHoldUntil();
+    if (!changed_ && slot == inputs_.slot && gainHoldUntil == inputs_.gainHoldUntil) {
+        return;
+    }
+    changed_ = false;
+    inputs_.slot = slot;
+    inputs_.gainHoldUntil = gainHoldUntil;
+    inputs_.now = clock_.monotonic();
+    const auto previous = table_.hold();
+    table_.publish(Steering::buildRoutingTable(inputs_, previous.get()));
+}
+
+std::shared_ptr<const RoutingTable> Engine::table() const
+{
+    return table_.hold();
+}
+
+const Base::RcuPointer<RoutingTable> &Engine::rcu() const
+{
+    return table_;
+}
+
+std::optional<Callers::ServiceMatch> Engine::match(const std::string &host, const std::string &path) const
+{
+    return table_.read([&](const RoutingTable &table) -> std::optional<Callers::ServiceMatch> {
+        const auto index = Steering::matchService(table, host, path);
+        if (!index) {
+            return std::nullopt;
+        }
+        const Steering::ServiceEntry &entry = table.services[*index];
+        return Callers::ServiceMatch { entry.service, entry.retryBudget };
+    });
+}
+
+std::uint64_t Engine::nextRandom()
+{
+    return random_.fetch_add(randomStep, std::memory_order_relaxed);
+}
+
+std::variant<Route, Refusal> Engine::tryAcquire(const std::string &service, const std::vector<std::string> &excludedServers)
+{
+    // Checked at every decision: the process may have been paused since the table was built.
+    if (!slot_.usable()) {
+        return Refusal::NoSlot;
+    }
+    const std::uint64_t random = nextRandom();
+    return table_.read([&](const RoutingTable &table) -> std::variant<Route, Refusal> {
+        const auto index = Steering::findService(table, service);
+        if (!index) {
+            return Refusal::NoPlace;
+        }
+        const Steering::DecisionInput input { *index, table.ownRegion, clock_.monotonic(), clock_.wall(), random, &excludedServers };
+        const Steering::Decision decision = Steering::decide(table, input);
+        if (decision.refusal) {
+            return *decision.refusal;
+        }
+        const Steering::PlaceEntry &place = table.places[decision.place];
+        const Steering::ServerEntry &server = place.servers[decision.server];
+        return Route { server.vm, place.place.name, server.load, server.connections, place.uploadLink, place.answerLink, input.now };
+    });
+}
+
+Engine::Queue &Engine::queueOf(const std::string &service)
+{
+    const std::lock_guard lock(queuesMutex_);
+    auto &queue = queues_[service];
+    if (!queue) {
+        queue = std::make_unique<Queue>();
+    }
+    return *queue;
+}
+
+std::int64_t Engine::maxWaiting(const std::string &service) const
+{
+    return table_.read([&](const RoutingTable &table) -> std::int64_t {
+        const auto index = Steering::findService(table, service);
+        return index ? (table.services[*index].units + 1) / 2 : 0;
+    });
+}
+
+std::variant<Route, Refusal> Engine::acquire(const std::string &service, const std::vector<std::string> &excludedServers, Steering::MonotonicMs waitMs)
+{
+    Queue &queue = queueOf(service);
+    // Those that wait go first.
+    if (queue.waiting.load(std::memory_order_relaxed) == 0) {
+        auto first = tryAcquire(service, excludedServers);
+        const auto *refusal = std::get_if<Refusal>(&first);
+        if (!refusal || *refusal != Refusal::NoHeadroom) {
+            return first;
+        }
+    }
+    if (waitMs <= 0 || queue.waiting.load(std::memory_order_relaxed) >= maxWaiting(service)) {
+        return Refusal::NoHeadroom;
+    }
+    const Base::MonotonicMs end = clock_.monotonic() + waitMs;
+    queue.waiting.fetch_add(1, std::memory_order_relaxed);
+    std::variant<Route, Refusal> result = Refusal::NoHeadroom;
+    while (true) {
+        result = tryAcquire(service, excludedServers);
+        const auto *refusal = std::get_if<Refusal>(&result);
+        const Base::MonotonicMs left = end - clock_.monotonic();
+        if (!refusal || *refusal != Refusal::NoHeadroom || left <= 0) {
+            break;
+        }
+        std::unique_lock lock(queue.mutex);
+        queue.freed.wait_for(lock, std::chrono::milliseconds(std::min(left, waitSliceMs)));
+    }
+    queue.waiting.fetch_sub(1, std::memory_order_relaxed);
+    return result;
+}
+
+bool Engine::mayStillSend(const Route &route) const
+{
+    const Base::MonotonicMs now = clock_.monotonic();
+    if (now - route.decidedAt > Steering::maxDecisionAgeMs || !slot_.usable()) {
+        return false;
+    }
+    const Base::WallMs wall = clock_.wall();
+    return table_.read([&](const RoutingTable &table) {
+        const Steering::ServerEntry *server = findServer(table, route.place, route.server.id);
+        return server && Steering::usableUnits(table, *server, now, wall) > 0;
+    });
+}
+
+void Engine::release(const Route &route)
+{
+    route.load->release();
+    Queue &queue = queueOf(route.server.service);
+    if (queue.waiting.load(std::memory_order_relaxed) > 0) {
+        queue.freed.notify_one();
+    }
+}
+
+void Engine::record(const std::string &service, const std::string &place, Callers::RequestOutcome outcome, std::int64_t latencyUs)
+{
+    recorder_.record(service, place, outcome, latencyUs);
+}
+
+bool Engine::isDraining() const
+{
+    return draining_;
+}
+
+bool Engine::isReady() const
+{
+    return slot_.usable().has_value() && table_.read([](const RoutingTable &table) { return table.configuration->generation > 0 && table.slot.has_value(); });
+}
+
+} // namespace Wasabistair::App
--- /dev/null
+++ b/src/app/engine.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "recorder.h"
+
+#include <base/clock.h>
+#include <base/rcu.h>
+#include <callers/router.h>
+#include <platform/objectstore.h>
+#include <platform/slotclaim.h>
+#include <steering/entryorder.h>
+#include <steering/routingtable.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Wasabistair::App {
+
+/// Holds the routing table in force and answers the request path's questions from it.
+class Engine: public Callers::Router
+{
+public:
+    Engine(const Base::Clock &clock, Recorder &recorder, Platform::SlotClaim &slot, std::string vm, std::string region, std::uint64_t randomSeed);
+
+    // Inputs; each takes effect at the next rebuild().
+    /// @p firstHoldMs applies if the process had no configuration before (see RoutingInputs).
+    void setConfiguration(std::shared_ptr<const Steering::Configuration> configuration, Base::MonotonicMs firstHoldMs);
+    void setList(const Platform::VmList &list);
+    void setUnavailable(std::vector<std::string> vms);
+    void setDraining();
+    /// Builds and publishes a new table if any input has changed. Call several times a second.
+    void rebuild();
+
+    [[nodiscard]] std::shared_ptr<const Steering::RoutingTable> table() const;
+    [[nodiscard]] const Base::RcuPointer<Steering::RoutingTable> &rcu() const;
+
+    [[nodiscard]] std::optional<Callers::ServiceMatch> match(const std::string &host, const std::string &path) const override;
+    [[nodiscard]] std::variant<Callers::Route, Steering::Refusal> acquire(
+        const std::string &service, const std::vector<std::string> &excludedServers, Steering::MonotonicMs waitMs) override;
+    [[nodiscard]] bool mayStillSend(const Callers::Route &route) const override;
+    void release(const Callers::Route &route) override;
+    void record(const std::string &service, const std::string &place, Callers::RequestOutcome outcome, std::int64_t latencyUs) override;
+    [[nodiscard]] bool isDraining() const override;
+    [[nodiscard]] bool isReady() const override;
+
+private:
+    struct Queue {
+        std::mutex mutex;
+        std::condition_variable freed;
+        std::atomic<std::int64_t> waiting { 0 };
+    };
+
+    [[nodiscard]] std::variant<Callers::Route, Steering::Refusal> tryAcquire(const std::string &service, const std::vector<std::string> &excludedServers);
+    [[nodiscard]] Queue &queueOf(const std::string &service);
+    [[nodiscard]] std::int64_t maxWaiting(const std::string &service) const;
+    [[nodiscard]] std::uint64_t nextRandom();
+
+    const Base::Clock &clock_;
+    Recorder &recorder_;
+    Platform::SlotClaim &slot_;
+    const std::string vm_;
+    std::atomic<std::uint64_t> random_;
+    std::atomic<bool> draining_ { false };
+
+    std::mutex inputMutex_;
+    Steering::RoutingInputs inputs_;
+    bool changed_ = false;
+
+    std::mutex queuesMutex_;
+    std::map<std::string, std::unique_ptr<Queue>> queues_;
+
+    Base::RcuPointer<Steering::RoutingTable> table_;
+};
+
+} // namespace Wasabistair::App
--- /dev/null
+++ b/src/libs/base/timeline.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "hybridclock.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Wasabistair::Base {
+
+/// What happened, for the time line over all processes.
+enum class EventKind {
+    Started,
+    Ready,
+    NotReady,
+    Draining,
+    GenerationInForce,
+    GenerationRefused,
+    PeerUp,
+    PeerDown,
+    PlatformUp,
+    PlatformDown,
+    SlotClaimed,
+    SlotLost,
+    StopStarted,
+    StopDrained,
+    UpstreamLeaving,
+    ShiftCapReached,
+};
+
+[[nodiscard]] std::string_view toString(EventKind kind);
+
+/// One event of one process. (node, incarnation, sequence) identifies it.
+struct Event {
+    HybridTime time;
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t generation = 0;
+    EventKind kind = EventKind::Started;
+    std::string subject;
+    std::string cause;
+
+    bool operator==(const Event &) const = default;
+};
+
+/// Total order over all processes: hybrid time, then node, then sequence.
+[[nodiscard]] bool happensBefore(const Event &left, const Event &right);
+
+void to_json(nlohmann::json &json, const Event &event);
+void from_json(const nlohmann::json &json, Event &event);
+
+/// Bounded record of own events and of those that peers sent.
+class Timeline
+{
+public:
+    static constexpr std::size_t maxEventsPerNode = 256;
+    static constexpr std::size_t maxEvents = 8192;
+
+    Timeline(HybridClock &clock, std::string node, std::uint64_t incarnation);
+
+    void record(EventKind kind, std::uint64_t generation, std::string subject, std::string cause);
+    /// Adds events of other processes; known ones are ignored. Returns the new ones.
+    std::vector<Event> merge(const std::vector<Event> &events);
+    /// Own events with a sequence above @p sequence, oldest first, at most @p limit.
+    [[nodiscard]] std::vector<Event> ownAfter(std::uint64_t sequence, std::size_t limit) const;
+    /// All known events in order.
+    [[nodiscard]] std::vector<Event> all() const;
+
+private:
+    void store(const Event &event);
+
+    HybridClock &clock_;
+    const std::string node_;
+    const std::uint64_t incarnation_;
+    mutable std::mutex mutex_;
+    std::uint64_t sequence_ = 0;
+    std::size_t size_ = 0;
+    std::map<std::pair<std::string, std::uint64_t>, std::deque<Event>> events_;
+};
+
+} // namespace Wasabistair::Base
--- /dev/null
+++ b/src/libs/callers/callerconnection.cpp
@@ -0,0 +1,112 @@
+#include "callerconnection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/NetException.h>
+
+namespace Wasabistair::Callers {
+
+namespace {
+
+constexpr std::int64_t stopCheckMs = 200;
+
+} // namespace
+
+/// Gives access to the number of received bytes that were not consumed.
+class CallerConnection::Session: public Poco::Net::HTTPServerSession
+{
+public:
+    using HTTPServerSession::HTTPServerSession;
+
+    [[nodiscard]] int unread() const
+    {
+        return buffered();
+    }
+};
+
+CallerConnection::CallerConnection(
+    const Poco::Net::StreamSocket &socket, const CallerHandler &handler, const CallerLimits &limits, const Base::Clock &clock, std::function<bool()> stopping)
+    : Poco::Net::TCPServerConnection(socket)
+    , handler_(handler)
+    , limits_(limits)
+    , clock_(clock)
+    , stopping_(std::move(stopping))
+    , params_(new Poco::Net::HTTPServerParams)
+{
+    params_->setTimeout(Poco::Timespan(limits_.idleTimeoutMs * Poco::Timespan::MILLISECONDS));
+    params_->setKeepAlive(true);
+}
+
+void CallerConnection::run()
+{
+    try {
+        Session session(socket(), params_);
+        Base::MonotonicMs idleSince = clock_.monotonic();
+        while (true) {
+            const bool waiting = session.unread() == 0;
+            if (waiting && !socket().poll(Poco::Timespan(stopCheckMs * Poco::Timespan::MILLISECONDS), Poco::Net::Socket::SELECT_READ)) {
+                if (stopping_() || clock_.monotonic() - idleSince >= limits_.idleTimeoutMs) {
+                    return;
+                }
+                continue;
+            }
+            if (!serveOne(session)) {
+                return;
+            }
+            idleSince = clock_.monotonic();
+        }
+    } catch (const Poco::Exception &) {
+        // The caller's connection broke; there is nobody to tell.
+        return;
+    }
+}
+
+bool CallerConnection::serveOne(Session &session)
+{
+    auto &recording = static_cast<Http::RecordingSocketImpl &>(*socket().impl());
+    recording.setReceiveDeadline(clock_.monotonic() + limits_.headerTimeoutMs);
+    Poco::Net::HTTPServerResponseImpl response(session);
+    std::unique_ptr<Poco::Net::HTTPServerRequestImpl> request;
+    try {
+        request = std::make_unique<Poco::Net::HTTPServerRequestImpl>(response, session, params_.get());
+    } catch (const Poco::Net::NoMessageException &) {
+        return false;
+    } catch (const Poco::TimeoutException &) {
+        return false;
+    } catch (const Poco::Exception &) {
+        refuseMalformed(session);
+        return false;
+    }
+    recording.setReceiveDeadline(0);
+    response.setVersion(request->getVersion());
+    if (const auto problem = checkRequest(*request)) {
+        // Framing may be unclear, so nothing after this request can be trusted.
+        request->setKeepAlive(false);
+        CallerExchange exchange(*request, response, recording, clock_, [&session] { return session.unread(); });
+        exchange.answer(Problem { *problem, RunState::NotRun });
+        return false;
+    }
+    CallerExchange exchange(*request, response, recording, clock_, [&session] { return session.unread(); });
+    handler_(exchange);
+    recording.setReceiveDeadline(0);
+    if (!exchange.mayContinue()) {
+        return false;
+    }
+    return request->getKeepAlive() && response.getKeepAlive() && !stopping_();
+}
+
+void CallerConnection::refuseMalformed(Session &session)
+{
+    Poco::Net::HTTPServerResponseImpl response(session);
+    const Problem problem { ProblemKind::MalformedRequest, RunState::NotRun };
+    const std::string body = problemBody(problem);
+    response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
+    response.set(Http::runHeader, std::string(toString(problem.run)));
+    response.setContentType("application/problem+json");
+    response.setContentLength(static_cast<std::streamsize>(body.size()));
+    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    response.setKeepAlive(false);
+    response.send() << body << std::flush;
+}
+
+} // namespace Wasabistair::Callers
--- /dev/null
+++ b/src/libs/callers/callerconnection.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "callerexchange.h"
+
+#include <base/clock.h>
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/TCPServerConnection.h>
+
+#include <cstdint>
+#include <functional>
+
+namespace Wasabistair::Callers {
+
+/// Limits of callers' connections.
+struct CallerLimits {
+    std::int64_t headerTimeoutMs = 0;
+    std::int64_t idleTimeoutMs = 0;
+    int maxConnections = 0;
+};
+
+/// Answers one request.
+using CallerHandler = std::function<void(CallerExchange &)>;
+
+/// One connection of a caller: reads requests one after another and hands each to the handler.
+class CallerConnection: public Poco::Net::TCPServerConnection
+{
+public:
+    CallerConnection(const Poco::Net::StreamSocket &socket, const CallerHandler &handler, const CallerLimits &limits, const Base::Clock &clock,
+        std::function<bool()> stopping);
+
+    void run() override;
+
+private:
+    class Session;
+
+    [[nodiscard]] bool serveOne(Session &session);
+    void refuseMalformed(Session &session);
+
+    const CallerHandler &handler_;
+    const CallerLimits &limits_;
+    const Base::Clock &clock_;
+    const std::function<bool()> stopping_;
+    Poco::Net::HTTPServerParams::Ptr params_;
+};
+
+} // namespace Wasabistair::Callers
--- /dev/null
+++ b/src/libs/nodes/generationstore.cpp
@@ -0,0 +1,102 @@
+#include "generationstore.h"
+
+namespace Wasabistair::Nodes {
+
+using Platform::ContentError;
+using Platform::ContentFailure;
+using Steering::Configuration;
+
+GenerationStore::GenerationStore()
+    : configuration_(std::make_shared<const Configuration>())
+{}
+
+TakeOutcome GenerationStore::take(const GenerationId &candidate, const PartSource &source)
+{
+    const std::lock_guard takeLock(takeMutex_);
+    {
+        const std::lock_guard lock(mutex_);
+        if (candidate.generation <= current_.generation) {
+            return { TakeStatus::NotNewer, std::nullopt };
+        }
+        if (refused_.contains(candidate)) {
+            return { TakeStatus::Refused, std::nullopt };
+        }
+    }
+    const TakeOutcome outcome = decode(candidate, source);
+    if (outcome.status == TakeStatus::Refused) {
+        const std::lock_guard lock(mutex_);
+        refused_.insert(candidate);
+    }
+    return outcome;
+}
+
+TakeOutcome GenerationStore::decode(const GenerationId &candidate, const PartSource &source)
+{
+    const auto manifest = source(candidate.manifestDigest);
+    if (!manifest) {
+        return { TakeStatus::Incomplete, ContentError { ContentFailure::PartMissing, "manifest" } };
+    }
+    if (Platform::digestOf(*manifest) != candidate.manifestDigest) {
+        // Damaged on the way or by one peer: another source may have it whole.
+        return { TakeStatus::Incomplete, ContentError { ContentFailure::Damaged, "manifest" } };
+    }
+    std::map<std::string, Bytes> parts;
+    parts[candidate.manifestDigest] = std::make_shared<const std::string>(*manifest);
+    const auto fetch = [&](const Platform::Part &wanted) -> std::optional<std::string> {
+        auto bytes = part(wanted.digest);
+        if (!bytes) {
+            bytes = source(wanted.digest);
+            if (bytes && Platform::digestOf(*bytes) != wanted.digest) {
+                return std::nullopt;
+            }
+        }
+        if (bytes) {
+            parts[wanted.digest] = std::make_shared<const std::string>(*bytes);
+        }
+        return bytes;
+    };
+    auto decoded = Base::attempt<ContentError>([&] { return Platform::decodeContent(*manifest, fetch); }, ContentError {});
+    if (!decoded) {
+        const bool missing = decoded.error->failure == ContentFailure::PartMissing;
+        return { missing ? TakeStatus::Incomplete : TakeStatus::Refused, decoded.error };
+    }
+    auto next = std::make_shared<Configuration>();
+    next->generation = candidate.generation;
+    next->digest = candidate.manifestDigest;
+    next->objects = std::move(*decoded.value);
+    next->blocks = Steering::BlockMap(next->objects.clientBlocks, next->objects.sites);
+    // Requests need the map only; the blocks themselves are several times as large.
+    next->objects.clientBlocks = {};
+    const std::lock_guard lock(mutex_);
+    current_ = candidate;
+    configuration_ = std::move(next);
+    parts_ = std::move(parts);
+    return { TakeStatus::Taken, std::nullopt };
+}
+
+GenerationId GenerationStore::current() const
+{
+    const std::lock_guard lock(mutex_);
+    return current_;
+}
+
+std::shared_ptr<const Configuration> GenerationStore::configuration() const
+{
+    const std::lock_guard lock(mutex_);
+    return configuration_;
+}
+
+std::optional<std::string> GenerationStore::part(const std::string &digest) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = parts_.find(digest);
+    return found == parts_.end() ? std::nullopt : std::optional(*found->second);
+}
+
+std::set<GenerationId> GenerationStore::refused() const
+{
+    const std::lock_guard lock(mutex_);
+    return refused_;
+}
+
+} // namespace Wasabistair::Nodes
--- /dev/null
+++ b/src/libs/nodes/message.cpp
@@ -0,0 +1,219 @@
+#include "message.h"
+
+#include <platform/vmlist.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Wasabistair::Nodes {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int maxDepth = 6;
+
+enum class Tag {
+    Hello,
+    Heartbeat,
+    PartRequest,
+    PartReply,
+    ListRequest,
+    ListReply,
+    Report,
+    EventBatch,
+};
+
+Json binary(const std::string &bytes)
+{
+    return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string fromBinary(const Json &json)
+{
+    const auto &bytes = json.get_binary();
+    return { bytes.begin(), bytes.end() };
+}
+
+struct Encoder {
+    Json operator()(const Hello &hello) const
+    {
+        return { Tag::Hello, messageFormat, hello.node, hello.incarnation };
+    }
+
+    Json operator()(const Heartbeat &beat) const
+    {
+        return { Tag::Heartbeat, beat.sequence, beat.time.wall, beat.time.logical, beat.generation, beat.manifestDigest, beat.listVersion, beat.available,
+            beat.unavailable };
+    }
+
+    Json operator()(const PartRequest &request) const
+    {
+        return { Tag::PartRequest, request.digest };
+    }
+
+    Json operator()(const PartReply &reply) const
+    {
+        return { Tag::PartReply, reply.digest, reply.found, binary(reply.bytes) };
+    }
+
+    Json operator()(const ListRequest &) const
+    {
+        return Json::array({ Tag::ListRequest });
+    }
+
+    Json operator()(const ListReply &reply) const
+    {
+        return { Tag::ListReply, Platform::vmListToJson(reply.list) };
+    }
+
+    Json operator()(const Report &report) const
+    {
+        return { Tag::Report, report.node, report.incarnation, report.body };
+    }
+
+    Json operator()(const EventBatch &batch) const
+    {
+        return { Tag::EventBatch, batch.events };
+    }
+};
+
+std::optional<Message> decodeHeartbeat(const Json &json)
+{
+    Heartbeat beat;
+    beat.sequence = json.at(1).get<std::uint64_t>();
+    beat.time = { json.at(2).get<std::int64_t>(), json.at(3).get<std::uint32_t>() };
+    beat.generation = json.at(4).get<std::uint64_t>();
+    beat.manifestDigest = json.at(5).get<std::string>();
+    beat.listVersion = json.at(6).get<std::uint64_t>();
+    beat.available = json.at(7).get<bool>();
+    beat.unavailable = json.at(8).get<std::vector<std::string>>();
+    return beat.unavailable.size() <= maxUnavailable ? std::optional<Message>(std::move(beat)) : std::nullopt;
+}
+
+std::optional<Message> decodeTagged(const Json &json)
+{
+    switch (static_cast<Tag>(json.at(0).get<int>())) {
+    case Tag::Hello:
+        if (json.at(1).get<int>() != messageFormat) {
+            return std::nullopt;
+        }
+        return Hello { json.at(2).get<std::string>(), json.at(3).get<std::uint64_t>() };
+    case Tag::Heartbeat:
+        return decodeHeartbeat(json);
+    case Tag::PartRequest:
+        return PartRequest { json.at(1).get<std::string>() };
+    case Tag::PartReply:
+        return PartReply { json.at(1).get<std::string>(), json.at(2).get<bool>(), fromBinary(json.at(3)) };
+    case Tag::ListRequest:
+        return ListRequest {};
+    case Tag::ListReply: {
+        auto list = Platform::vmListFromJson(json.at(1));
+        return list ? std::optional<Message>(ListReply { std::move(*list) }) : std::nullopt;
+    }
+    case Tag::Report: {
+        Report report { json.at(1).get<std::string>(), json.at(2).get<std::uint64_t>(), json.at(3).get<std::string>() };
+        return report.body.size() <= maxReportBytes ? std::optional<Message>(std::move(report)) : std::nullopt;
+    }
+    case Tag::EventBatch: {
+        EventBatch batch { json.at(1).get<std::vector<Base::Event>>() };
+        return batch.events.size() <= maxEventsPerBatch ? std::optional<Message>(std::move(batch)) : std::nullopt;
+    }
+    }
+    return std::nullopt;
+}
+
+/// Counts nesting of a CBOR item without building it.
+class DepthSax: public Json::json_sax_t
+{
+public:
+    bool null() override
+    {
+        return true;
+    }
+    bool boolean(bool) override
+    {
+        return true;
+    }
+    bool number_integer(number_integer_t) override
+    {
+        return true;
+    }
+    bool number_unsigned(number_unsigned_t) override
+    {
+        return true;
+    }
+    bool number_float(number_float_t, const string_t &) override
+    {
+        return true;
+    }
+    bool string(string_t &) override
+    {
+        return true;
+    }
+    bool binary(binary_t &) override
+    {
+        return true;
+    }
+    bool start_object(std::size_t) override
+    {
+        return ++depth_ <= maxDepth;
+    }
+    bool key(string_t &) override
+    {
+        return true;
+    }
+    bool end_object() override
+    {
+        --depth_;
+        return true;
+    }
+    bool start_array(std::size_t) override
+    {
+        return ++depth_ <= maxDepth;
+    }
+    bool end_array() override
+    {
+        --depth_;
+        return true;
+    }
+    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
+    {
+        return false;
+    }
+
+private:
+    int depth_ = 0;
+};
+
+/// Bounds nesting before anything is built.
+bool isShallow(const std::string &bytes)
+{
+    DepthSax sax;
+    return Json::sax_parse(bytes, &sax, Json::input_format_t::cbor, true);
+}
+
+} // namespace
+
+std::string encodeMessage(const Message &message)
+{
+    const std::vector<std::uint8_t> bytes = Json::to_cbor(std::visit(Encoder {}, message));
+    return { bytes.begin(), bytes.end() };
+}
+
+std::optional<Message> decodeMessage(const std::string &bytes)
+{
+    if (!isShallow(bytes)) {
+        return std::nullopt;
+    }
+    const Json json = Json::from_cbor(bytes, true, false);
+    if (!json.is_array() || json.empty()) {
+        return std::nullopt;
+    }
+    try {
+        return decodeTagged(json);
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Wasabistair::Nodes
--- /dev/null
+++ b/src/libs/nodes/topology.cpp
@@ -0,0 +1,52 @@
+#include "topology.h"
+
+#include <steering/hash.h>
+
+#include <algorithm>
+
+namespace Wasabistair::Nodes {
+
+using Steering::Vm;
+using Steering::VmKind;
+
+std::vector<std::string> relaysOf(const std::vector<Vm> &vms, const std::string &zone, const std::set<std::string> &suspects)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const Vm &vm : vms) {
+        if (vm.kind == VmKind::Entry && vm.zone == zone && !suspects.contains(vm.id)) {
+            ranked.emplace_back(Steering::hashOf(vm.id), vm.id);
+        }
+    }
+    const std::size_t count = std::min(relaysPerZone, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end());
+    std::vector<std::string> relays;
+    for (std::size_t i = 0; i < count; ++i) {
+        relays.push_back(ranked[i].second);
+    }
+    return relays;
+}
+
+std::set<std::string> desiredPeers(const std::vector<Vm> &vms, const Vm &self, const std::set<std::string> &suspects)
+{
+    std::set<std::string> zones;
+    for (const Vm &vm : vms) {
+        if (vm.kind == VmKind::Entry) {
+            zones.insert(vm.zone);
+        }
+    }
+    std::set<std::string> others = suspects;
+    others.erase(self.id);
+    const std::vector<std::string> own = relaysOf(vms, self.zone, others);
+    std::set<std::string> peers(own.begin(), own.end());
+    const bool isRelay = peers.contains(self.id);
+    if (isRelay) {
+        for (const std::string &zone : zones) {
+            const std::vector<std::string> relays = relaysOf(vms, zone, others);
+            peers.insert(relays.begin(), relays.end());
+        }
+    }
+    peers.erase(self.id);
+    return peers;
+}
+
+} // namespace Wasabistair::Nodes
--- /dev/null
+++ b/src/libs/operators/review.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <base/histogram.h>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace Wasabistair::Operators {
+
+/// Version of the definitions in docs/review.md; figures of different versions are not merged.
+constexpr int reviewVersion = 1;
+
+/// Cumulative figures of one service at one place over one month, of one incarnation of a VM.
+struct PlaceFigures {
+    Base::HistogramCounts latency;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    /// Headroom samples: units that could be used, and units in use, each added up once a second.
+    std::uint64_t usableUnits = 0;
+    std::uint64_t usedUnits = 0;
+    /// Highest share of usable units in use in any sample, in 1/1000.
+    std::uint64_t peakPermille = 0;
+
+    bool operator==(const PlaceFigures &) const = default;
+    [[nodiscard]] PlaceFigures mergedWith(const PlaceFigures &other) const;
+};
+
+/// What one VM saw of one planned stop; wall milliseconds.
+struct StopFigures {
+    std::int64_t start = 0;
+    std::int64_t lastEnd = 0;
+    std::int64_t inFlight = 0;
+
+    bool operator==(const StopFigures &) const = default;
+    [[nodiscard]] StopFigures mergedWith(const StopFigures &other) const;
+};
+
+/// Figures by (service, place) and by name of planned stop.
+struct Figures {
+    std::map<std::pair<std::string, std::string>, PlaceFigures> places;
+    std::map<std::string, StopFigures> stops;
+
+    bool operator==(const Figures &) const = default;
+    [[nodiscard]] Figures mergedWith(const Figures &other) const;
+};
+
+/// One incarnation of a VM.
+struct Source {
+    std::string vm;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const Source &) const = default;
+};
+
+/// The review object of one zone and month. Figures of an incarnation are overwritten, never added, so
+/// that repeated writes and lost answers change nothing; those of retired incarnations are folded into
+/// one sum, and their names kept, so that none is folded twice.
+struct ReviewObject {
+    std::map<Source, Figures> live;
+    Figures retired;
+    std::map<Source, std::int64_t> retiredSources;
+
+    bool operator==(const ReviewObject &) const = default;
+
+    /// Replaces the figures of @p source. Ignored if @p source was retired.
+    void put(const Source &source, const Figures &figures);
+    /// Folds @p source into the sum; @p wall is kept with its name.
+    void retire(const Source &source, std::int64_t wall);
+    /// Figures of the whole zone.
+    [[nodiscard]] Figures total() const;
+};
+
+[[nodiscard]] nlohmann::json figuresToJson(const Figures &figures);
+[[nodiscard]] std::optional<Figures> figuresFromJson(const nlohmann::json &json);
+[[nodiscard]] std::string encodeReview(const ReviewObject &review);
+[[nodiscard]] std::optional<ReviewObject> decodeReview(const std::string &bytes);
+
+/// "YYYY-MM" in UTC.
+[[nodiscard]] std::string monthOf(std::int64_t wallMs);
+[[nodiscard]] std::string reviewPrefix(const std::string &month);
+[[nodiscard]] std::string reviewKey(const std::string &month, const std::string &zone);
+
+} // namespace Wasabistair::Operators
--- /dev/null
+++ b/src/libs/platform/content.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "objectstore.h"
+
+#include <steering/objects.h>
+#include <steering/schema.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Wasabistair::Platform {
+
+/// Version of the encoding of manifests and parts. A VM refuses any other.
+constexpr int contentFormat = 1;
+
+/// One immutable piece of a configuration, named by the SHA-256 of its bytes (hex).
+struct Part {
+    std::string name;
+    std::string digest;
+    std::size_t size = 0;
+
+    auto operator<=>(const Part &) const = default;
+};
+
+/// A configuration as it is stored: a manifest that names parts by digest.
+/// Client blocks are split into parts by their first octet, so that a change moves only what changed.
+struct Content {
+    std::string manifest;
+    std::string manifestDigest;
+    /// Bytes of each part by digest.
+    std::map<std::string, std::string> parts;
+
+    bool operator==(const Content &) const = default;
+};
+
+[[nodiscard]] std::string digestOf(const std::string &bytes);
+
+[[nodiscard]] Content encodeContent(const Steering::ObjectSet &objects);
+
+enum class ContentFailure {
+    Damaged,
+    NewerFormat,
+    TooLarge,
+    /// A part could not be fetched now.
+    PartMissing,
+    /// Decoded, but the set of objects has faults.
+    Invalid,
+};
+
+[[nodiscard]] std::string_view toString(ContentFailure failure);
+
+struct ContentError {
+    ContentFailure failure = ContentFailure::Damaged;
+    std::string part;
+
+    auto operator<=>(const ContentError &) const = default;
+};
+
+/// Parts that @p manifest names; refuses damage, newer formats and sizes beyond the limits.
+[[nodiscard]] Base::Result<std::vector<Part>> readManifest(const std::string &manifest);
+
+/// Decodes and checks a whole configuration. @p fetch returns the bytes of a part, or nothing.
+[[nodiscard]] Base::Result<Steering::ObjectSet> decodeContent(
+    const std::string &manifest, const std::function<std::optional<std::string>(const Part &)> &fetch);
+
+} // namespace Wasabistair::Platform
--- /dev/null
+++ b/src/libs/platform/slotclaim.cpp
@@ -0,0 +1,218 @@
+#include "slotclaim.h"
+
+#include "vmlist.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Wasabistair::Platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+} // namespace
+
+std::string encodeSlots(const SlotOwners &owners)
+{
+    Json json = Json::object();
+    for (const auto &[index, owner] : owners) {
+        json[std::to_string(index)] = { { "vm", owner.vm }, { "incarnation", owner.incarnation } };
+    }
+    return json.dump();
+}
+
+std::optional<SlotOwners> decodeSlots(const std::string &bytes)
+{
+    try {
+        SlotOwners owners;
+        const Json parsed = Json::parse(bytes);
+        for (const auto &[key, value] : parsed.items()) {
+            owners[std::stoll(key)] = { value.at("vm").get<std::string>(), value.at("incarnation").get<std::uint64_t>() };
+        }
+        return owners;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+SlotClaim::SlotClaim(ObjectStore &store, const Base::Clock &clock, std::string region, std::string vm, std::uint64_t incarnation)
+    : store_(store)
+    , clock_(clock)
+    , region_(std::move(region))
+    , key_("wasabistair/slots/" + region_)
+    , self_ { std::move(vm), incarnation }
+    , lastTick_(clock.monotonic())
+    , lastContact_(clock.monotonic())
+{}
+
+bool SlotClaim::isGone(const std::string &vm, const VmList &list)
+{
+    if (findVm(list, vm)) {
+        goneSince_.erase(vm);
+        return false;
+    }
+    const Base::MonotonicMs now = clock_.monotonic();
+    const auto [entry, added] = goneSince_.try_emplace(vm, now);
+    return now - entry->second >= goneHoldMs;
+}
+
+std::optional<std::int64_t> SlotClaim::choose(const SlotOwners &owners, const VmList &list, std::int64_t vmSlots)
+{
+    for (const auto &[index, owner] : owners) {
+        if (owner.vm == self_.vm && index < vmSlots) {
+            return index;
+        }
+    }
+    for (std::int64_t index = 0; index < vmSlots; ++index) {
+        if (!owners.contains(index)) {
+            return index;
+        }
+    }
+    std::optional<std::int64_t> gone;
+    for (const auto &[index, owner] : owners) {
+        if (index < vmSlots && isGone(owner.vm, list) && !gone) {
+            gone = index;
+        }
+    }
+    return gone;
+}
+
+bool SlotClaim::refresh(const VmList &list, std::int64_t vmSlots)
+{
+    const Base::MonotonicMs before = clock_.monotonic();
+    if (!findVm(list, self_.vm)) {
+        return false;
+    }
+    const auto value = tryStore([&] { return store_.get(key_); });
+    SlotOwners owners;
+    Version version = noVersion;
+    if (value) {
+        const auto decoded = decodeSlots(value.value->value);
+        if (!decoded) {
+            return false;
+        }
+        owners = *decoded;
+        version = value.value->version;
+    } else if (value.error->failure != PlatformFailure::NotFound) {
+        return false;
+    }
+    const auto index = choose(owners, list, vmSlots);
+    if (!index) {
+        const std::lock_guard lock(mutex_);
+        index_.reset();
+        confirmed_ = false;
+        return false;
+    }
+    const auto owner = owners.find(*index);
+    const bool restarted = owner != owners.end() && owner->second.vm == self_.vm && owner->second.incarnation != self_.incarnation;
+    if (owner == owners.end() || owner->second != self_) {
+        owners[*index] = self_;
+        if (!tryStore([&] { return store_.put(key_, encodeSlots(owners), version); })) {
+            return false;
+        }
+    }
+    // A pause between reading and now would make the confirmation stale.
+    if (clock_.monotonic() - before >= pauseLimitMs) {
+        return false;
+    }
+    return confirm(*index, restarted);
+}
+
+bool SlotClaim::confirm(std::int64_t index, bool restarted)
+{
+    const std::lock_guard lock(mutex_);
+    const Base::MonotonicMs now = clock_.monotonic();
+    if (restarted && !index_) {
+        gainHoldUntil_ = now + restartHoldMs;
+    }
+    index_ = index;
+    confirmed_ = true;
+    lastTick_ = now;
+    lastContact_ = now;
+    return true;
+}
+
+void SlotClaim::tick()
+{
+    const std::lock_guard lock(mutex_);
+    const Base::MonotonicMs now = clock_.monotonic();
+    if (now - lastTick_ >= pauseLimitMs || isIsolated(now)) {
+        confirmed_ = false;
+    }
+    lastTick_ = now;
+}
+
+bool SlotClaim::isIsolated(Base::MonotonicMs now) const
+{
+    return rivals_ > 0 && now - lastContact_ >= contactLimitMs;
+}
+
+void SlotClaim::observeList(const VmList &list)
+{
+    const std::lock_guard lock(mutex_);
+    if (list.version < listVersion_) {
+        return;
+    }
+    listVersion_ = list.version;
+    if (!findVm(list, self_.vm)) {
+        confirmed_ = false;
+    }
+}
+
+void SlotClaim::observeContact()
+{
+    const std::lock_guard lock(mutex_);
+    const Base::MonotonicMs now = clock_.monotonic();
+    if (isIsolated(now)) {
+        confirmed_ = false;
+    }
+    lastContact_ = now;
+}
+
+void SlotClaim::setRivals(std::size_t count)
+{
+    const std::lock_guard lock(mutex_);
+    rivals_ = count;
+}
+
+std::optional<Steering::VmSlot> SlotClaim::usable() const
+{
+    const std::lock_guard lock(mutex_);
+    const Base::MonotonicMs now = clock_.monotonic();
+    const bool paused = now - lastTick_ >= pauseLimitMs;
+    if (!index_ || !confirmed_ || paused || isIsolated(now)) {
+        return std::nullopt;
+    }
+    return Steering::VmSlot { region_, *index_ };
+}
+
+Base::MonotonicMs SlotClaim::gainHoldUntil() const
+{
+    const std::lock_guard lock(mutex_);
+    return gainHoldUntil_;
+}
+
+void SlotClaim::release()
+{
+    std::optional<std::int64_t> index;
+    {
+        const std::lock_guard lock(mutex_);
+        index = std::exchange(index_, std::nullopt);
+        confirmed_ = false;
+    }
+    if (!index) {
+        return;
+    }
+    const auto value = tryStore([&] { return store_.get(key_); });
+    auto owners = value ? decodeSlots(value.value->value) : std::nullopt;
+    if (!owners || !owners->contains(*index) || owners->at(*index) != self_) {
+        return;
+    }
+    owners->erase(*index);
+    // On failure the slot is taken over once the platform's list is without this VM.
+    static_cast<void>(tryStore([&] { return store_.put(key_, encodeSlots(*owners), value.value->version); }));
+}
+
+} // namespace Wasabistair::Platform
--- /dev/null
+++ b/src/libs/steering/linkbudget.cpp
@@ -0,0 +1,51 @@
+#include "linkbudget.h"
+
+#include <algorithm>
+
+namespace Wasabistair::Steering {
+
+namespace {
+
+constexpr std::int64_t bytesPerMbit = 125'000;
+constexpr std::int64_t percent = 100;
+constexpr std::int64_t usesPerDirection = 2;
+constexpr std::int64_t usPerSecond = 1'000'000;
+constexpr std::int64_t usPerMs = 1'000;
+
+} // namespace
+
+std::int64_t linkShareBytesPerSecond(const Link &link, std::int64_t vmSlotsOfRegion)
+{
+    if (vmSlotsOfRegion <= 0) {
+        return 0;
+    }
+    return link.mbitPerSecond * bytesPerMbit * link.sharePercent / percent / usesPerDirection / vmSlotsOfRegion;
+}
+
+LinkBudget::LinkBudget(std::int64_t bytesPerSecond)
+    : bytesPerSecond_(std::max<std::int64_t>(1, bytesPerSecond))
+{}
+
+MonotonicMs LinkBudget::book(std::int64_t bytes, MonotonicMs now)
+{
+    const std::int64_t nowUs = now * usPerMs;
+    const std::int64_t cost = (bytes * usPerSecond + bytesPerSecond_ - 1) / bytesPerSecond_;
+    std::int64_t before = busyUntilUs_.load(std::memory_order_relaxed);
+    std::int64_t start = 0;
+    do {
+        start = std::max(before, nowUs);
+    } while (!busyUntilUs_.compare_exchange_weak(before, start + cost, std::memory_order_relaxed));
+    return (start - nowUs + usPerMs - 1) / usPerMs;
+}
+
+MonotonicMs LinkBudget::backlogMs(MonotonicMs now) const
+{
+    return std::max<MonotonicMs>(0, (busyUntilUs_.load(std::memory_order_relaxed) - now * usPerMs) / usPerMs);
+}
+
+std::int64_t LinkBudget::bytesPerSecond() const
+{
+    return bytesPerSecond_;
+}
+
+} // namespace Wasabistair::Steering
--- /dev/null
+++ b/src/libs/steering/schema.cpp
@@ -0,0 +1,399 @@
+#include "schema.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+namespace Wasabistair::Steering {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t maxSuggestionDistance = 3;
+constexpr std::size_t maxNameLength = 63;
+constexpr std::size_t maxListLength = 100'000;
+constexpr std::int64_t maxCount = 1'000'000;
+constexpr std::int64_t maxSeconds = 86'400;
+constexpr std::int64_t maxDeadlineMs = 600'000;
+constexpr std::int64_t maxBody = std::int64_t { 1 } << 40;
+
+FieldSpec nameField()
+{
+    return { .name = "name", .type = FieldType::Name, .required = true, .help = "Unique among objects of its kind." };
+}
+
+FieldSpec integer(std::string name, std::int64_t minimum, std::int64_t maximum, Json defaultValue, std::string unit, std::string help)
+{
+    const bool required = defaultValue.is_null();
+    return { .name = std::move(name),
+        .type = FieldType::Integer,
+        .required = required,
+        .defaultValue = std::move(defaultValue),
+        .minimum = minimum,
+        .maximum = maximum,
+        .unit = std::move(unit),
+        .help = std::move(help) };
+}
+
+FieldSpec reference(std::string name, std::string kind, std::string help)
+{
+    return { .name = std::move(name), .type = FieldType::Reference, .required = true, .referenceKind = std::move(kind), .help = std::move(help) };
+}
+
+FieldSpec text(std::string name, bool required, std::string help)
+{
+    return { .name = std::move(name), .type = FieldType::Text, .required = required, .defaultValue = required ? Json() : Json(""), .help = std::move(help) };
+}
+
+FieldSpec textList(std::string name, bool required, std::string help)
+{
+    return {
+        .name = std::move(name), .type = FieldType::TextList, .required = required, .defaultValue = required ? Json() : Json::array(), .help = std::move(help)
+    };
+}
+
+FieldSpec time(std::string name, bool required, Json defaultValue, std::string help)
+{
+    return { .name = std::move(name), .type = FieldType::Time, .required = required, .defaultValue = std::move(defaultValue), .help = std::move(help) };
+}
+
+KindSpec serviceKind()
+{
+    FieldSpec operations { .name = "operations",
+        .type = FieldType::ObjectList,
+        .defaultValue = Json::array(),
+        .help = "Overrides of the method's own idempotency; the longest matching path prefix wins." };
+    operations.fields = { text("method", true, "HTTP method."), text("pathPrefix", true, "Path or its leading segments."),
+        { .name = "idempotent", .type = FieldType::Boolean, .required = true, .help = "Whether a second run does no harm." } };
+    return { "Service", "What callers ask for; matched by host and path prefix.",
+        { nameField(), textList("hosts", true, "Host names (without port) that callers use."),
+            { .name = "pathPrefix", .type = FieldType::Text, .defaultValue = "/", .help = "Path or its leading segments." }, operations,
+            integer("requiredSlots", 0, maxCount, 0, "slots", "Slots that must stay usable while planned stops are in force."),
+            integer("deadlineMs", 1, maxDeadlineMs, 10'000, "ms", "Time for the whole request when the caller names no shorter one."),
+            integer("progressTimeoutMs", 100, maxDeadlineMs, 5'000, "ms", "Longest time without a byte from the caller or the upstream."),
+            integer("queueWaitMs", 0, maxDeadlineMs, 200, "ms", "Longest wait for a free slot before the request is refused."),
+            integer("maxAttempts", 1, 5, 3, "tries", "Tries of an idempotent request, the first included."),
+            integer("retryPercent", 0, 100, 10, "%", "Retries as a share of first tries."),
+            integer("maxBodyBytes", 0, maxBody, 64 << 20, "bytes", "Largest request body."),
+            integer("lookupMaxAgeSeconds", 1, 300, 5, "s", "How long callers may keep a look-up answer.") } };
+}
+
+KindSpec placeKind()
+{
+    return { "Place", "The servers of one service in one region.",
+        { nameField(), reference("service", "Service", "The service that runs here."), text("region", true, "Region of the servers; must be in the fleet."),
+            textList("zones", true, "Availability zones of the servers."), integer("servers", 1, maxCount, nullptr, "servers", "Number of servers expected."),
+            integer("slotsPerServer", 1, 10'000, nullptr, "slots", "Requests that one server runs at once."),
+            integer("queuePerServer", 0, 10'000, 0, "requests", "Requests that one server may hold beyond its slots."),
+            integer("connectionsPerServer", 1, 100'000, 400, "connections", "Connections that one server takes from all VMs together."),
+            integer("localSharePercent", 1, 100, 75, "%", "Part of each server's slots that goes to entry VMs of its own region."),
+            integer("coldStartSeconds", 0, maxSeconds, 30, "s", "Time over which a new server's slots come into use.") } };
+}
+
+KindSpec shiftKind()
+{
+    return { "Shift", "A bounded move of a service's traffic from one place to another. Exactly one cap is given.",
+        { nameField(), reference("service", "Service", "The service whose traffic moves."), reference("from", "Place", "Place that the traffic would go to."),
+            reference("to", "Place", "Place that it is moved to."),
+            integer("capPermille", 0, 1000, 0, "1/1000", "Largest share of the requests for `from` that is moved."),
+            integer("capRequestsPerSecond", 0, maxCount, 0, "requests/s", "Largest number of requests moved in any second."),
+            integer("rampSeconds", 0, maxSeconds, 0, "s", "Time from `start` over which the cap rises from 0."),
+            time("start", false, 0, "When it begins; from publication on if absent."), time("end", false, INT64_MAX, "When it ends; never if absent."),
+            { .name = "countSpill",
+                .type = FieldType::Boolean,
+                .defaultValue = true,
+                .help = "Whether requests that spill from `from` to `to` for want of headroom count against the cap." } } };
+}
+
+KindSpec plannedStopKind()
+{
+    return { "PlannedStop", "A time during which a place, one zone of it or one server of it takes no new work.",
+        { nameField(), reference("place", "Place", "The place concerned."), text("zone", false, "Only servers of this availability zone."),
+            text("server", false, "Only this server, by its VM id."), time("start", true, nullptr, "From then on no new work is sent."),
+            time("end", false, INT64_MAX, "From then on new work is sent again.") } };
+}
+
+KindSpec fleetKind()
+{
+    FieldSpec regions { .name = "regions", .type = FieldType::ObjectList, .required = true, .help = "Regions with entry VMs." };
+    regions.fields = { text("region", true, "Name of the region."),
+        integer("vmSlots", 1, 1000, nullptr, "VMs", "Entry VMs among which the region's part of each server's slots is divided.") };
+    return { "Fleet", "The entry VMs among which capacity is divided. Exactly one per configuration.", { nameField(), regions } };
+}
+
+KindSpec clientsKind()
+{
+    FieldSpec blocks { .name = "blocks", .type = FieldType::ObjectList, .defaultValue = Json::array(), .help = "Blocks given in place." };
+    blocks.fields = { text("prefix", true, "IPv4 prefix, a.b.c.d/n."), reference("site", "Site", "Site that these clients are steered to.") };
+    return { "Clients", "Blocks of clients; the longest matching prefix decides.",
+        { nameField(), blocks, text("file", false, "File of `prefix,site` lines, relative to the declaration.") } };
+}
+
+KindSpec siteKind()
+{
+    return { "Site", "A group of availability zones that client blocks are steered to.",
+        { nameField(), text("region", true, "Region of the site; must be in the fleet."), textList("zones", true, "Its availability zones.") } };
+}
+
+KindSpec linkKind()
+{
+    return { "Link", "The shared path between two regions; the same capacity each way.",
+        { nameField(), textList("regions", true, "The two regions."),
+            integer("mbitPerSecond", 1, 10'000'000, 4'000, "Mbit/s", "Capacity each way for all traffic."),
+            integer("delayMs", 0, 10'000, nullptr, "ms", "One-way delay."),
+            integer("sharePercent", 1, 100, 50, "%", "Part of the capacity that this system may use.") } };
+}
+
+bool isName(const std::string &name)
+{
+    if (name.empty() || name.size() > maxNameLength) {
+        return false;
+    }
+    const auto allowed = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-'; };
+    return std::all_of(name.begin(), name.end(), allowed) && name.front() != '-';
+}
+
+std::string shown(const Json &value)
+{
+    constexpr std::size_t maxShown = 80;
+    std::string textual = value.is_string() ? value.get<std::string>() : value.dump();
+    if (textual.size() > maxShown) {
+        textual.resize(maxShown);
+    }
+    return textual;
+}
+
+class SchemaChecker
+{
+public:
+    SchemaChecker(std::string object, std::vector<Fault> &faults)
+        : object_(std::move(object))
+        , faults_(faults)
+    {}
+
+    void checkFields(Json &json, const std::vector<FieldSpec> &fields, const std::string &path)
+    {
+        refuseUnknown(json, fields, path);
+        for (const FieldSpec &field : fields) {
+            const std::string where = path + field.name;
+            if (!json.contains(field.name) || json[field.name].is_null()) {
+                if (field.required) {
+                    add(FaultKind::MissingField, where, "", "");
+                } else {
+                    json[field.name] = field.defaultValue;
+                }
+                continue;
+            }
+            checkValue(json[field.name], field, where);
+        }
+    }
+
+private:
+    void add(FaultKind kind, const std::string &field, const std::string &given, const std::string &hint)
+    {
+        faults_.push_back({ kind, object_, field, given, hint });
+    }
+
+    void refuseUnknown(const Json &json, const std::vector<FieldSpec> &fields, const std::string &path)
+    {
+        std::vector<std::string> names;
+        for (const FieldSpec &field : fields) {
+            names.push_back(field.name);
+        }
+        for (const auto &[key, value] : json.items()) {
+            const bool isKind = path.empty() && key == "kind";
+            if (isKind || std::find(names.begin(), names.end(), key) != names.end()) {
+                continue;
+            }
+            const auto near = nearestMatch(key, names);
+            add(FaultKind::UnknownField, path + key, "", near ? "did you mean " + *near + "?" : "");
+        }
+    }
+
+    void checkValue(Json &value, const FieldSpec &field, const std::string &where)
+    {
+        switch (field.type) {
+        case FieldType::Text:
+            if (!value.is_string()) {
+                add(FaultKind::WrongType, where, shown(value), "expected text");
+            }
+            return;
+        case FieldType::Name:
+        case FieldType::Reference:
+            checkName(value, where);
+            return;
+        case FieldType::Integer:
+            checkInteger(value, field, where);
+            return;
+        case FieldType::Time:
+            if (!value.is_number_integer()) {
+                add(FaultKind::BadTime, where, shown(value), "expected a time such as 2026-12-04T10:00:00Z");
+            }
+            return;
+        case FieldType::Boolean:
+            if (!value.is_boolean()) {
+                add(FaultKind::WrongType, where, shown(value), "expected true or false");
+            }
+            return;
+        case FieldType::TextList:
+            checkTextList(value, field, where);
+            return;
+        case FieldType::ObjectList:
+            checkObjectList(value, field, where);
+            return;
+        }
+    }
+
+    void checkName(const Json &value, const std::string &where)
+    {
+        if (!value.is_string() || !isName(value.get<std::string>())) {
+            add(FaultKind::BadName, where, shown(value), "expected up to 63 of a-z, 0-9 and -");
+        }
+    }
+
+    void checkInteger(const Json &value, const FieldSpec &field, const std::string &where)
+    {
+        if (!value.is_number_integer()) {
+            add(FaultKind::WrongType, where, shown(value), "expected a whole number" + (field.unit.empty() ? "" : " of " + field.unit));
+            return;
+        }
+        const auto number = value.get<std::int64_t>();
+        if (number < field.minimum || number > field.maximum) {
+            add(FaultKind::OutOfRange, where, shown(value), "from " + std::to_string(field.minimum) + " to " + std::to_string(field.maximum));
+        }
+    }
+
+    void checkTextList(const Json &value, const FieldSpec &field, const std::string &where)
+    {
+        const auto isText = [](const Json &item) { return item.is_string() && !item.get<std::string>().empty(); };
+        if (!value.is_array() || !std::all_of(value.begin(), value.end(), isText)) {
+            add(FaultKind::WrongType, where, shown(value), "expected a list of texts");
+        } else if (value.empty() && field.required) {
+            add(FaultKind::MissingField, where, "", "the list is empty");
+        }
+    }
+
+    void checkObjectList(Json &value, const FieldSpec &field, const std::string &where)
+    {
+        if (!value.is_array() || value.size() > maxListLength) {
+            add(FaultKind::WrongType, where, shown(value), "expected a list");
+            return;
+        }
+        for (std::size_t i = 0; i < value.size(); ++i) {
+            const std::string item = where + "[" + std::to_string(i) + "]";
+            if (!value[i].is_object()) {
+                add(FaultKind::WrongType, item, shown(value[i]), "expected fields");
+                continue;
+            }
+            checkFields(value[i], field.fields, item + ".");
+        }
+    }
+
+    std::string object_;
+    std::vector<Fault> &faults_;
+};
+
+std::size_t editDistance(std::string_view left, std::string_view right)
+{
+    std::vector<std::size_t> row(right.size() + 1);
+    std::iota(row.begin(), row.end(), std::size_t { 0 });
+    for (std::size_t i = 1; i <= left.size(); ++i) {
+        std::size_t diagonal = row[0];
+        row[0] = i;
+        for (std::size_t j = 1; j <= right.size(); ++j) {
+            const std::size_t substituted = diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
+            diagonal = row[j];
+            row[j] = std::min({ row[j] + 1, row[j - 1] + 1, substituted });
+        }
+    }
+    return row.back();
+}
+
+} // namespace
+
+const std::vector<KindSpec> &kinds()
+{
+    static const std::vector<KindSpec> all = { serviceKind(), placeKind(), shiftKind(), plannedStopKind(), siteKind(), linkKind(), fleetKind(), clientsKind() };
+    return all;
+}
+
+const KindSpec *findKind(std::string_view kind)
+{
+    for (const KindSpec &spec : kinds()) {
+        if (spec.kind == kind) {
+            return &spec;
+        }
+    }
+    return nullptr;
+}
+
+std::string_view toString(FaultKind kind)
+{
+    static constexpr std::array<std::string_view, 15> names = {
+        "syntax",
+        "unknown-kind",
+        "unknown-field",
+        "missing-field",
+        "wrong-type",
+        "out-of-range",
+        "bad-name",
+        "duplicate-name",
+        "missing-reference",
+        "conflict",
+        "cycle",
+        "not-enough-capacity",
+        "bad-prefix",
+        "bad-time",
+        "format-not-supported",
+    };
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+std::string objectLabel(const Json &object)
+{
+    const auto textOf
+        = [&](const char *field) { return object.contains(field) && object[field].is_string() ? object[field].get<std::string>() : std::string("?"); };
+    return textOf("kind") + "/" + textOf("name");
+}
+
+void checkSchema(Json &object, std::vector<Fault> &faults)
+{
+    if (!object.is_object()) {
+        faults.push_back({ FaultKind::WrongType, "?/?", "", shown(object), "expected an object with a kind" });
+        return;
+    }
+    const std::string label = objectLabel(object);
+    if (!object.contains("kind") || !object["kind"].is_string()) {
+        faults.push_back({ FaultKind::MissingField, label, "kind", "", "" });
+        return;
+    }
+    const std::string kind = object["kind"].get<std::string>();
+    const KindSpec *spec = findKind(kind);
+    if (!spec) {
+        std::vector<std::string> names;
+        for (const KindSpec &known : kinds()) {
+            names.push_back(known.kind);
+        }
+        const auto near = nearestMatch(kind, names);
+        faults.push_back({ FaultKind::UnknownKind, label, "kind", kind, near ? "did you mean " + *near + "?" : "" });
+        return;
+    }
+    SchemaChecker(label, faults).checkFields(object, spec->fields, "");
+}
+
+std::optional<std::string> nearestMatch(std::string_view given, const std::vector<std::string> &candidates)
+{
+    std::optional<std::string> best;
+    std::size_t bestDistance = maxSuggestionDistance + 1;
+    for (const std::string &candidate : candidates) {
+        const std::size_t distance = editDistance(given, candidate);
+        if (distance < bestDistance) {
+            bestDistance = distance;
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+} // namespace Wasabistair::Steering
--- /dev/null
+++ b/src/libs/steering/schema.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Wasabistair::Steering {
+
+enum class FieldType {
+    Text,
+    Name,
+    Reference,
+    Integer,
+    Time,
+    Boolean,
+    TextList,
+    ObjectList,
+};
+
+/// Declares one field of an object: what the check, the reader and docs/objects.md share.
+struct FieldSpec {
+    std::string name = {};
+    FieldType type = FieldType::Text;
+    bool required = false;
+    nlohmann::json defaultValue = {};
+    std::int64_t minimum = 0;
+    std::int64_t maximum = 0;
+    std::string unit = {};
+    std::string referenceKind = {};
+    std::string help = {};
+    std::vector<FieldSpec> fields = {};
+};
+
+/// Declares one kind of object.
+struct KindSpec {
+    std::string kind;
+    std::string help;
+    std::vector<FieldSpec> fields;
+};
+
+[[nodiscard]] const std::vector<KindSpec> &kinds();
+[[nodiscard]] const KindSpec *findKind(std::string_view kind);
+
+enum class FaultKind {
+    Syntax,
+    UnknownKind,
+    UnknownField,
+    MissingField,
+    WrongType,
+    OutOfRange,
+    BadName,
+    DuplicateName,
+    MissingReference,
+    Conflict,
+    Cycle,
+    NotEnoughCapacity,
+    BadPrefix,
+    BadTime,
+    FormatNotSupported,
+};
+
+[[nodiscard]] std::string_view toString(FaultKind kind);
+
+/// One fault of a set of objects. @c object is "Kind/name"; @c hint may suggest a mend.
+struct Fault {
+    FaultKind kind = FaultKind::Syntax;
+    std::string object;
+    std::string field;
+    std::string given;
+    std::string hint;
+
+    auto operator<=>(const Fault &) const = default;
+};
+
+/// Checks one object against its kind and fills in defaults in place. Appends every fault.
+void checkSchema(nlohmann::json &object, std::vector<Fault> &faults);
+
+/// "Kind/name" of an object, as faults name it.
+[[nodiscard]] std::string objectLabel(const nlohmann::json &object);
+
+/// The candidate nearest to @p given by edit distance, if at most @c maxSuggestionDistance away.
+[[nodiscard]] std::optional<std::string> nearestMatch(std::string_view given, const std::vector<std::string> &candidates);
+
+} // namespace Wasabistair::Steering
--- /dev/null
+++ b/src/libs/upstreams/exchange.cpp
@@ -0,0 +1,188 @@
+#include "exchange.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/NetException.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Wasabistair::Upstreams {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr std::size_t copyBytes = 32 * 1024;
+constexpr int callerCheckIntervalMs = 20;
+constexpr int firstFinalStatus = 200;
+
+bool isRefusalStatus(int status)
+{
+    return status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE || status == HTTPResponse::HTTP_TOO_MANY_REQUESTS;
+}
+
+Http::Framing answerFraming(const std::string &method, const HTTPResponse &response)
+{
+    const int status = response.getStatus();
+    const bool bodyless = method == HTTPRequest::HTTP_HEAD || status == HTTPResponse::HTTP_NO_CONTENT || status == HTTPResponse::HTTP_NOT_MODIFIED;
+    if (bodyless) {
+        return Http::Framing::None;
+    }
+    if (response.getChunkedTransferEncoding()) {
+        return Http::Framing::Chunked;
+    }
+    return response.hasContentLength() ? Http::Framing::FixedLength : Http::Framing::UntilClose;
+}
+
+/// An answer whose framing could be read in two ways.
+bool isAmbiguous(const HTTPResponse &response)
+{
+    const auto lengths = Http::headerValues(response, HTTPResponse::CONTENT_LENGTH);
+    const auto encodings = Http::headerValues(response, HTTPResponse::TRANSFER_ENCODING);
+    const bool digits = lengths.empty() || std::all_of(lengths.front().begin(), lengths.front().end(), [](unsigned char c) { return std::isdigit(c) != 0; });
+    return lengths.size() > 1 || encodings.size() > 1 || (!lengths.empty() && !encodings.empty()) || !digits
+        || (!encodings.empty() && !response.getChunkedTransferEncoding());
+}
+
+} // namespace
+
+const std::string upstreamRunHeader = "Upstream-Run";
+const std::string upstreamStateHeader = "Upstream-State";
+
+Exchange::Exchange(UpstreamSession &session, const Base::Clock &clock, TryLimits limits, TryHooks hooks)
+    : session_(session)
+    , clock_(clock)
+    , limits_(limits)
+    , hooks_(std::move(hooks))
+{}
+
+const HTTPResponse &Exchange::response() const
+{
+    return response_;
+}
+
+Http::BodyReader &Exchange::answerBody()
+{
+    return *answerBody_;
+}
+
+std::int64_t Exchange::remainingMs() const
+{
+    return limits_.deadline - clock_.monotonic();
+}
+
+int Exchange::stepTimeoutMs() const
+{
+    return static_cast<int>(std::clamp<std::int64_t>(remainingMs(), 1, limits_.progressTimeoutMs));
+}
+
+TryResult Exchange::run(const OutgoingRequest &request, RequestBody &body)
+{
+    const TryResult result = send(request, body);
+    if (result != TryResult::Answered && result != TryResult::Refused) {
+        // POCO's chunked stream writes a valid ending when it is destroyed; a closed socket prevents that.
+        session_.abort();
+    }
+    return result;
+}
+
+TryResult Exchange::send(const OutgoingRequest &request, RequestBody &body)
+{
+    HTTPRequest head(request.method, request.target, HTTPRequest::HTTP_1_1);
+    for (const auto &[name, value] : request.headers) {
+        head.add(name, value);
+    }
+    head.set(Http::deadlineHeader, std::to_string(std::max<std::int64_t>(1, remainingMs())));
+    if (body.framing() == Http::Framing::Chunked) {
+        head.setChunkedTransferEncoding(true);
+    } else {
+        head.setContentLength64(body.framing() == Http::Framing::FixedLength ? body.length() : 0);
+    }
+    session_.setTimeouts(stepTimeoutMs(), stepTimeoutMs());
+    try {
+        std::ostream &out = session_.sendRequest(head);
+        const TryResult sent = sendBody(out, body);
+        if (sent != TryResult::Answered) {
+            return sent;
+        }
+        const TryResult waited = awaitAnswer();
+        return waited == TryResult::Answered ? readHead(request.method) : waited;
+    } catch (const Poco::Exception &) {
+        return TryResult::NoAnswer;
+    }
+}
+
+TryResult Exchange::sendBody(std::ostream &out, RequestBody &body)
+{
+    std::array<char, copyBytes> buffer;
+    while (body.state() == Http::BodyState::More) {
+        const std::size_t count = body.read(buffer.data(), buffer.size());
+        if (body.state() == Http::BodyState::Cut) {
+            return TryResult::CallerBodyCut;
+        }
+        if (remainingMs() <= 0) {
+            return TryResult::DeadlinePassed;
+        }
+        if (hooks_.paceUpload && count > 0) {
+            hooks_.paceUpload(count);
+        }
+        out.write(buffer.data(), static_cast<std::streamsize>(count));
+        const bool answersEarly = body.state() == Http::BodyState::More && session_.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+        if (!out.good() || answersEarly) {
+            // Reading the answer would end a chunked stream with a valid last chunk, as if it were whole.
+            return body.framing() == Http::Framing::Chunked ? TryResult::NoAnswer : TryResult::Answered;
+        }
+    }
+    if (body.state() == Http::BodyState::Cut) {
+        return TryResult::CallerBodyCut;
+    }
+    bodySent_ = out.good();
+    // Ends the stream; @p out must not be used from here on.
+    session_.flushRequest();
+    return TryResult::Answered;
+}
+
+TryResult Exchange::awaitAnswer()
+{
+    while (true) {
+        const std::int64_t left = remainingMs();
+        if (left <= 0) {
+            return TryResult::DeadlinePassed;
+        }
+        const auto slice = std::min<std::int64_t>(left, callerCheckIntervalMs);
+        if (session_.unreadBytes() > 0 || session_.socket().poll(Poco::Timespan(slice * Poco::Timespan::MILLISECONDS), Poco::Net::Socket::SELECT_READ)) {
+            return TryResult::Answered;
+        }
+        if (hooks_.callerGone && hooks_.callerGone()) {
+            return TryResult::CallerGone;
+        }
+    }
+}
+
+TryResult Exchange::readHead(const std::string &method)
+{
+    session_.setTimeouts(stepTimeoutMs(), stepTimeoutMs());
+    std::istream &in = session_.receiveResponse(response_);
+    if (response_.getStatus() < firstFinalStatus || isAmbiguous(response_)) {
+        return TryResult::NoAnswer;
+    }
+    const Http::Framing framing = answerFraming(method, response_);
+    const std::int64_t length = framing == Http::Framing::FixedLength ? response_.getContentLength64() : 0;
+    answerBody_ = std::make_unique<Http::BodyReader>(in, session_.recording(), framing, length, [this] { return session_.unreadBytes(); });
+    const bool refused = isRefusalStatus(response_.getStatus()) && response_.get(upstreamRunHeader, "") == "refused";
+    return refused ? TryResult::Refused : TryResult::Answered;
+}
+
+bool Exchange::isReusable() const
+{
+    return bodySent_ && answerBody_ && answerBody_->state() == Http::BodyState::Complete && response_.getKeepAlive() && session_.unreadBytes() == 0;
+}
+
+bool Exchange::announcesLeaving() const
+{
+    return response_.get(upstreamStateHeader, "") == "leaving";
+}
+
+} // namespace Wasabistair::Upstreams
--- /dev/null
+++ b/src/libs/upstreams/upstreamsession.cpp
@@ -0,0 +1,75 @@
+#include "upstreamsession.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace Wasabistair::Upstreams {
+
+namespace {
+
+Poco::Timespan milliseconds(int value)
+{
+    return { static_cast<Poco::Timespan::TimeDiff>(value) * Poco::Timespan::MILLISECONDS };
+}
+
+/// StreamSocket with a given implementation; the base's constructor for that is protected.
+class CustomStreamSocket: public Poco::Net::StreamSocket
+{
+public:
+    explicit CustomStreamSocket(Poco::Net::SocketImpl *implementation)
+        : Poco::Net::StreamSocket(implementation)
+    {}
+};
+
+} // namespace
+
+UpstreamSession::UpstreamSession(const Base::Clock &clock)
+    : Poco::Net::HTTPClientSession(CustomStreamSocket(new Http::RecordingSocketImpl(clock)))
+    , recording_(static_cast<Http::RecordingSocketImpl *>(socket().impl()))
+{
+    setKeepAlive(true);
+}
+
+void UpstreamSession::open(const Base::HostPort &address, int timeoutMs)
+{
+    socket().connect(Poco::Net::SocketAddress(address.host, address.port), milliseconds(timeoutMs));
+    socket().setNoDelay(true);
+    socket().impl()->setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
+}
+
+bool UpstreamSession::looksUsable()
+{
+    return connected() && unreadBytes() == 0 && !socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ | Poco::Net::Socket::SELECT_ERROR);
+}
+
+Http::RecordingSocketImpl &UpstreamSession::recording()
+{
+    return *recording_;
+}
+
+int UpstreamSession::unreadBytes() const
+{
+    return buffered();
+}
+
+void UpstreamSession::setTimeouts(int sendMs, int receiveMs)
+{
+    socket().setSendTimeout(milliseconds(sendMs));
+    socket().setReceiveTimeout(milliseconds(receiveMs));
+}
+
+int UpstreamSession::write(const char *buffer, std::streamsize length)
+{
+    return HTTPSession::write(buffer, length);
+}
+
+bool UpstreamSession::mustReconnect() const
+{
+    return false;
+}
+
+} // namespace Wasabistair::Upstreams
--- /dev/null
+++ b/tests/auto/path/tst_path.cpp
@@ -0,0 +1,83 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <standins/fleet.h>
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+
+using namespace Wasabistair;
+using namespace Wasabistair::StandIns;
+
+namespace {
+
+/// Three entry VMs, one a region, in front of two servers a region.
+struct PathFixture {
+    PathFixture()
+        : fleet(FleetPlan {})
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        generation = fleet.publish(fleet.objects());
+        fleet.startVms();
+    }
+
+    Fleet fleet;
+    std::uint64_t generation = 0;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(PathFixture, "path_requestOfEachKind_isAnsweredWhole")
+{
+    REQUIRE(generation == 1);
+    REQUIRE(fleet.awaitReady(generation));
+    for (const Base::HostPort &entry : fleet.entries()) {
+        CallerConnectionClient client(entry, 10'000);
+        const CallerRecord read = client.call({ "read", "GET", "orders.test", "/orders/1", 0, false, {} });
+        CHECK(read.result == CallerResult::Answered);
+        CHECK(read.status == 200);
+        const CallerRecord order = client.call({ "order", "POST", "orders.test", "/orders", 300, false, {} });
+        CHECK(order.result == CallerResult::Answered);
+        const CallerRecord upload = client.call({ "upload", "PUT", "orders.test", "/drawings/1", 3'000'000, false, {} });
+        CHECK(upload.result == CallerResult::Answered);
+        const CallerRecord chunked = client.call({ "chunked", "POST", "orders.test", "/drawings", 200'000, true, {} });
+        CHECK(chunked.result == CallerResult::Answered);
+        const CallerRecord large = client.call({ "large", "GET", "orders.test", "/photo", 0, false, { { "X-Answer-Bytes", "5000000" } } });
+        CHECK(large.result == CallerResult::Answered);
+        CHECK(large.body.size() == 5'000'000);
+        const CallerRecord streamed
+            = client.call({ "streamed", "GET", "orders.test", "/photo", 0, false, { { "X-Answer-Bytes", "70000" }, { "X-Chunked", "1" } } });
+        CHECK(streamed.result == CallerResult::Answered);
+        CHECK(streamed.body.size() == 70'000);
+        const CallerRecord head = client.call({ "head", "HEAD", "orders.test", "/orders/1", 0, false, {} });
+        CHECK(head.status == 200);
+        CHECK(head.body.empty());
+    }
+}
+
+TEST_CASE_FIXTURE(PathFixture, "path_lookup_namesReadyVmsNearestFirst")
+{
+    REQUIRE(fleet.awaitReady(generation));
+    CallerConnectionClient client(fleet.entries()[1], 10'000);
+    nlohmann::json answer;
+    // The others' readiness arrives with their next heartbeat.
+    REQUIRE(eventually(
+        [&] {
+            const CallerRecord record = client.call({ "lookup", "GET", "any.test", "/v1/lookup?service=order-ledger", 0, false, {} });
+            answer = nlohmann::json::parse(record.body);
+            return record.status == 200 && answer["entryVms"].size() == 3;
+        },
+        30'000));
+    CHECK(answer["generation"] == generation);
+    CHECK(answer["site"] == "leinster");
+    CHECK(answer["entryVms"][0]["zone"] == "leinster-a");
+    CHECK(answer["places"][0] == "order-ledger-leinster");
+}
+
+TEST_CASE_FIXTURE(PathFixture, "path_sigterm_drainsAndEndsWithZero")
+{
+    REQUIRE(fleet.awaitReady(generation));
+    fleet.vms()[0].process->signal(SIGTERM);
+    CHECK(fleet.vms()[0].process->waitFor(20'000) == 0);
+}
--- /dev/null
+++ b/tests/standins/callerload.cpp
@@ -0,0 +1,185 @@
+#include "callerload.h"
+
+#include <base/clock.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace Wasabistair::StandIns {
+
+namespace {
+
+constexpr int percent = 100;
+
+std::string bodyOf(std::size_t size)
+{
+    std::string body(size, 'b');
+    return body;
+}
+
+} // namespace
+
+class CallerConnectionClient::Internals
+{
+public:
+    Internals(Base::HostPort address, int timeoutMs)
+        : session_(address.host, address.port)
+    {
+        session_.setKeepAlive(true);
+        session_.setTimeout(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(timeoutMs) * Poco::Timespan::MILLISECONDS));
+    }
+
+    CallerRecord call(const CallerRequest &wanted)
+    {
+        CallerRecord record;
+        record.id = wanted.id;
+        record.method = wanted.method;
+        const std::int64_t start = Base::monotonicMicroseconds();
+        bool sent = false;
+        try {
+            send(wanted);
+            sent = true;
+            receive(record);
+        } catch (const Poco::Exception &) {
+            session_.reset();
+            record.result = sent ? CallerResult::Unknown : CallerResult::NoAnswer;
+        }
+        record.latencyUs = Base::monotonicMicroseconds() - start;
+        return record;
+    }
+
+private:
+    void send(const CallerRequest &wanted)
+    {
+        Poco::Net::HTTPRequest request(wanted.method, wanted.path, Poco::Net::HTTPRequest::HTTP_1_1);
+        request.setHost(wanted.host);
+        request.set("X-Request-Id", wanted.id);
+        for (const auto &[name, value] : wanted.headers) {
+            request.set(name, value);
+        }
+        if (wanted.chunked) {
+            request.setChunkedTransferEncoding(true);
+        } else if (wanted.bodyBytes > 0 || wanted.method == "POST") {
+            request.setContentLength(static_cast<std::streamsize>(wanted.bodyBytes));
+        }
+        if (wanted.bodyBytes > 0) {
+            request.set("X-Body-Bytes", std::to_string(wanted.bodyBytes));
+        }
+        std::ostream &out = session_.sendRequest(request);
+        out << bodyOf(wanted.bodyBytes) << std::flush;
+    }
+
+    void receive(CallerRecord &record)
+    {
+        Poco::Net::HTTPResponse response;
+        std::istream &in = session_.receiveResponse(response);
+        record.body.assign(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+        record.status = response.getStatus();
+        record.server = response.get("X-Server", "");
+        const bool cut = response.hasContentLength() && record.body.size() != static_cast<std::size_t>(response.getContentLength());
+        if (cut) {
+            session_.reset();
+            record.result = CallerResult::Cut;
+        } else if (response.has("Wasabistair-Run")) {
+            record.result = response.get("Wasabistair-Run") == "not-run" ? CallerResult::NotRun : CallerResult::Unknown;
+            record.problem = nlohmann::json::parse(record.body, nullptr, false).value("type", "");
+        } else {
+            const bool own
+                = response.get("X-Request-Id", record.id) == record.id && (!record.body.starts_with("id=") || record.body.starts_with("id=" + record.id + ";"));
+            record.result = own ? CallerResult::Answered : CallerResult::WrongAnswer;
+        }
+    }
+
+    Poco::Net::HTTPClientSession session_;
+};
+
+CallerConnectionClient::CallerConnectionClient(Base::HostPort address, int timeoutMs)
+    : internals_(std::make_unique<Internals>(std::move(address), timeoutMs))
+{}
+
+CallerConnectionClient::~CallerConnectionClient() = default;
+
+CallerRecord CallerConnectionClient::call(const CallerRequest &request)
+{
+    return internals_->call(request);
+}
+
+std::string resultName(CallerResult result)
+{
+    static const std::vector<std::string> names = { "answered", "not-run", "unknown", "cut", "no-answer", "wrong-answer" };
+    return names.at(static_cast<std::size_t>(result));
+}
+
+std::vector<CallerRecord> runLoad(const LoadPlan &plan)
+{
+    std::vector<CallerRecord> all;
+    std::mutex mutex;
+    std::vector<std::thread> threads;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(plan.durationMs);
+    for (int caller = 0; caller < plan.callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            std::mt19937 random(static_cast<unsigned>(caller));
+            std::vector<CallerRecord> own;
+            CallerConnectionClient client(plan.entries[static_cast<std::size_t>(caller) % plan.entries.size()], plan.timeoutMs);
+            for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+                CallerRequest request;
+                request.id = plan.idPrefix + std::to_string(caller) + "-" + std::to_string(i);
+                request.host = plan.host;
+                request.path = plan.path;
+                request.headers = plan.headers;
+                if (static_cast<int>(random() % percent) < plan.postPercent) {
+                    request.method = "POST";
+                    request.bodyBytes = plan.postBytes;
+                }
+                own.push_back(client.call(request));
+                own.back().body.clear();
+                if (plan.pauseMs > 0 || own.back().result == CallerResult::NoAnswer) {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(std::max(1, plan.pauseMs)));
+                }
+            }
+            const std::lock_guard lock(mutex);
+            all.insert(all.end(), own.begin(), own.end());
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    return all;
+}
+
+std::int64_t latencyQuantile(const std::vector<CallerRecord> &records, CallerResult result, double q)
+{
+    std::vector<std::int64_t> latencies;
+    for (const CallerRecord &record : records) {
+        if (record.result == result) {
+            latencies.push_back(record.latencyUs);
+        }
+    }
+    if (latencies.empty()) {
+        return 0;
+    }
+    std::sort(latencies.begin(), latencies.end());
+    return latencies[static_cast<std::size_t>(q * static_cast<double>(latencies.size() - 1))];
+}
+
+std::map<std::string, std::size_t> countResults(const std::vector<CallerRecord> &records)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const CallerRecord &record : records) {
+        ++counts[resultName(record.result)];
+    }
+    return counts;
+}
+
+} // namespace Wasabistair::StandIns
--- /dev/null
+++ b/tests/standins/fakeupstream.cpp
@@ -0,0 +1,323 @@
+#include "fakeupstream.h"
+
+#include <base/clock.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Thread.h>
+#include <Poco/ThreadPool.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <thread>
+
+namespace Wasabistair::StandIns {
+
+namespace {
+
+using Poco::Net::HTTPResponse;
+
+constexpr int maxThreads = 450;
+constexpr int backlog = 512;
+constexpr int cancelCheckMs = 5;
+constexpr int silentStepMs = 50;
+
+class Handler: public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit Handler(FakeUpstream &upstream)
+        : upstream_(upstream)
+    {}
+
+    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
+    {
+        upstream_.handle(request, response);
+    }
+
+private:
+    FakeUpstream &upstream_;
+};
+
+class Factory: public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit Factory(FakeUpstream &upstream)
+        : upstream_(upstream)
+    {}
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+    {
+        return new Handler(upstream_);
+    }
+
+private:
+    FakeUpstream &upstream_;
+};
+
+Poco::Net::StreamSocket &socketOf(Poco::Net::HTTPServerRequest &request)
+{
+    return static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+}
+
+bool isClosed(Poco::Net::HTTPServerRequest &request)
+{
+    try {
+        Poco::Net::StreamSocket &socket = socketOf(request);
+        char byte = 0;
+        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) && socket.receiveBytes(&byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    } catch (const Poco::Exception &) {
+        return true;
+    }
+}
+
+std::int64_t wallNow()
+{
+    return Base::SystemClock().wall();
+}
+
+} // namespace
+
+FakeUpstream::FakeUpstream(UpstreamSettings settings)
+    : settings_(std::move(settings))
+    , started_(Base::SystemClock().monotonic())
+    , serviceMs_(settings_.serviceMs)
+{
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", settings_.port), true);
+    socket.listen(backlog);
+    auto *params = new Poco::Net::HTTPServerParams;
+    params->setMaxThreads(maxThreads);
+    params->setMaxQueued(maxThreads);
+    params->setKeepAlive(true);
+    params->setMaxKeepAliveRequests(0);
+    Poco::ThreadPool::defaultPool().addCapacity(maxThreads);
+    server_ = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), Poco::ThreadPool::defaultPool(), socket, params);
+    server_->start();
+}
+
+FakeUpstream::~FakeUpstream()
+{
+    silent_ = false;
+    server_->stopAll(true);
+}
+
+std::uint16_t FakeUpstream::port() const
+{
+    return server_->port();
+}
+
+void FakeUpstream::setLeaving(bool leaving)
+{
+    leaving_ = leaving;
+}
+
+void FakeUpstream::setHidesLeaving(bool hides)
+{
+    hidesLeaving_ = hides;
+}
+
+void FakeUpstream::setSilent(bool silent)
+{
+    silent_ = silent;
+}
+
+void FakeUpstream::setServiceMs(double milliseconds)
+{
+    serviceMs_ = milliseconds;
+}
+
+std::vector<RunRecord> FakeUpstream::record() const
+{
+    const std::lock_guard lock(mutex_);
+    return record_;
+}
+
+UpstreamStatistics FakeUpstream::statistics() const
+{
+    const std::lock_guard lock(mutex_);
+    return statistics_;
+}
+
+int FakeUpstream::usableSlots() const
+{
+    if (settings_.coldStartMs == 0) {
+        return settings_.slots;
+    }
+    const std::int64_t age = Base::SystemClock().monotonic() - started_;
+    const auto warm = static_cast<int>(settings_.slots * age / settings_.coldStartMs);
+    return std::clamp(warm, 1, settings_.slots);
+}
+
+bool FakeUpstream::enterSlot(std::int64_t deadlineMs)
+{
+    std::unique_lock lock(mutex_);
+    if (running_ >= usableSlots()) {
+        if (queued_ >= settings_.queue) {
+            ++statistics_.shed;
+            return false;
+        }
+        ++queued_;
+        statistics_.peakQueued = std::max(statistics_.peakQueued, queued_);
+        const bool entered = slotFreed_.wait_for(lock, std::chrono::milliseconds(deadlineMs), [this] { return running_ < usableSlots(); });
+        --queued_;
+        if (!entered) {
+            ++statistics_.shed;
+            return false;
+        }
+    }
+    ++running_;
+    statistics_.peakRunning = std::max(statistics_.peakRunning, running_);
+    return true;
+}
+
+void FakeUpstream::leaveSlot()
+{
+    const std::lock_guard lock(mutex_);
+    --running_;
+    slotFreed_.notify_one();
+}
+
+void FakeUpstream::addState(Poco::Net::HTTPServerResponse &response) const
+{
+    if (leaving_ && !hidesLeaving_) {
+        response.set("Upstream-State", "leaving");
+    }
+}
+
+void FakeUpstream::refuse(Poco::Net::HTTPServerResponse &response)
+{
+    addState(response);
+    response.setStatusAndReason(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    response.set("Upstream-Run", "refused");
+    response.setContentLength(0);
+    response.send();
+}
+
+void FakeUpstream::handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        statistics_.peakConnections = std::max(statistics_.peakConnections, server_->currentConnections());
+    }
+    while (silent_) {
+        Poco::Thread::sleep(silentStepMs);
+    }
+    if (request.getURI() == "/health") {
+        {
+            const std::lock_guard lock(mutex_);
+            ++statistics_.probes;
+        }
+        addState(response);
+        response.setContentLength(0);
+        response.send();
+        return;
+    }
+    const std::string body { std::istreambuf_iterator<char>(request.stream()), std::istreambuf_iterator<char>() };
+    const std::string declared = request.get("X-Body-Bytes", "");
+    if (!declared.empty() && std::stoull(declared) != body.size()) {
+        // The body was cut on the way: nothing runs.
+        socketOf(request).shutdown();
+        return;
+    }
+    const std::string fault = request.get("X-Fault", "");
+    const std::int64_t deadline = std::stoll(request.get("Wasabistair-Deadline-Ms", "10000"));
+    if (fault == "shed" || !enterSlot(deadline)) {
+        refuse(response);
+        return;
+    }
+    if (isClosed(request)) {
+        // Cancelled while it was queued.
+        leaveSlot();
+        return;
+    }
+    run(request, response, body);
+    leaveSlot();
+}
+
+void FakeUpstream::run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body)
+{
+    const std::string fault = request.get("X-Fault", "");
+    if (fault == "reset-before-answer") {
+        socketOf(request).shutdown();
+        return;
+    }
+    RunRecord entry { request.get("X-Request-Id", ""), request.getMethod(), wallNow(), 0, false };
+    std::size_t index = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        ++statistics_.ran;
+        index = record_.size();
+        record_.push_back(entry);
+    }
+    const bool completed = occupy(request, std::stod(request.get("X-Service-Ms", std::to_string(serviceMs_.load()))));
+    {
+        const std::lock_guard lock(mutex_);
+        record_[index].end = wallNow();
+        record_[index].completed = completed;
+        statistics_.cancelled += completed ? 0 : 1;
+    }
+    if (!completed) {
+        return;
+    }
+    if (fault == "reset-after-run") {
+        socketOf(request).shutdown();
+        return;
+    }
+    while (fault == "silent" && !isClosed(request)) {
+        Poco::Thread::sleep(silentStepMs);
+    }
+    answer(request, response, body);
+}
+
+bool FakeUpstream::occupy(Poco::Net::HTTPServerRequest &request, double milliseconds)
+{
+    using Duration = std::chrono::steady_clock::duration;
+    const auto wanted = std::chrono::duration<double, std::milli>(milliseconds);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::duration_cast<Duration>(wanted);
+    while (true) {
+        const auto left = end - std::chrono::steady_clock::now();
+        if (left.count() <= 0) {
+            return true;
+        }
+        const auto slice = std::min<Duration>(left, std::chrono::milliseconds(cancelCheckMs));
+        std::this_thread::sleep_for(slice);
+        if (isClosed(request)) {
+            return false;
+        }
+    }
+}
+
+void FakeUpstream::answer(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body)
+{
+    const std::string fault = request.get("X-Fault", "");
+    addState(response);
+    response.set("X-Request-Id", request.get("X-Request-Id", ""));
+    response.set("X-Server", settings_.name);
+    response.set("X-Received-Bytes", std::to_string(body.size()));
+    const auto size = static_cast<std::size_t>(std::stoull(request.get("X-Answer-Bytes", "64")));
+    std::string content = "id=" + request.get("X-Request-Id", "") + ";";
+    content.resize(std::max(size, content.size()), '.');
+    if (fault == "cut-chunked" || request.has("X-Chunked")) {
+        response.setChunkedTransferEncoding(true);
+    } else {
+        response.setContentLength(static_cast<std::streamsize>(content.size()));
+    }
+    std::ostream &out = response.send();
+    if (fault == "cut-body" || fault == "cut-chunked") {
+        out << content.substr(0, content.size() / 2) << std::flush;
+        socketOf(request).shutdown();
+        return;
+    }
+    out << content << std::flush;
+}
+
+} // namespace Wasabistair::StandIns
