--- /dev/null
+++ b/tests/auto/nodes/tst_mesh.cpp
@@ -0,0 +1,170 @@
+#include <doctest/doctest.h>
+
+#include <nodes/mesh.h>
+#include <nodes/websockettransport.h>
+#include <standins/fleet.h>
+#include <standins/ports.h>
+#include <standins/tcprelay.h>
+
+#include <algorithm>
+#include <atomic>
+#include <memory>
+#include <thread>
+
+using namespace Wasabistair;
+using namespace Wasabistair::Nodes;
+
+namespace {
+
+constexpr int waitMs = 30'000;
+
+/// One process's mesh, inside the test.
+struct Node {
+    Node(const std::string &id, std::uint16_t port, std::uint64_t incarnation)
+        : transport("127.0.0.1", port)
+        , timeline(hybridClock, id, incarnation)
+        , mesh(transport, clock, hybridClock, timeline, {id, incarnation, {}})
+    {
+        MeshHandlers handlers;
+        handlers.generationSeen = [this](std::uint64_t generation, const std::string &) { highestSeen = std::max(highestSeen.load(), generation); };
+        handlers.listReceived = [this](const Platform::VmList &list) { mesh.setList(list); };
+        handlers.reportReceived = [this](const Report &) { ++reports; };
+        handlers.contact = [] {};
+        handlers.part = [](const std::string &digest) { return digest == "known" ? std::optional<std::string>("bytes") : std::nullopt; };
+        handlers.list = [this] { return list; };
+        mesh.start(std::move(handlers));
+        ticker = std::thread([this] {
+            while (!stop) {
+                if (!paused) {
+                    mesh.tick();
+                }
+                StandIns::sleepMs(50);
+            }
+        });
+    }
+
+    ~Node()
+    {
+        stop = true;
+        ticker.join();
+        transport.stop();
+    }
+
+    Base::SystemClock clock;
+    Base::HybridClock hybridClock{clock};
+    WebSocketTransport transport;
+    Base::Timeline timeline;
+    std::atomic<std::uint64_t> highestSeen{0};
+    std::atomic<int> reports{0};
+    std::atomic<bool> stop{false};
+    std::atomic<bool> paused{false};
+    Platform::VmList list;
+    Mesh mesh;
+    std::thread ticker;
+};
+
+struct MeshFixture {
+    MeshFixture()
+    {
+        list.version = 1;
+        for (int i = 0; i < 4; ++i) {
+            const std::string zone = i < 2 ? "z0" : "z1";
+            list.vms.push_back({"n" + std::to_string(i), Steering::VmKind::Entry, Steering::VmState::Live, "127.0.0.1", 1, StandIns::freePort(), "r", zone, "", 0});
+        }
+        for (const Steering::Vm &vm : list.vms) {
+            start(vm);
+        }
+    }
+
+    void start(const Steering::Vm &vm)
+    {
+        nodes.push_back(std::make_unique<Node>(vm.id, vm.nodePort, ++incarnation));
+        nodes.back()->list = list;
+        nodes.back()->mesh.setList(list);
+        nodes.back()->mesh.setState(1, "digest", true);
+    }
+
+    bool allLinked() const
+    {
+        return std::all_of(nodes.begin(), nodes.end(), [](const auto &node) { return node->mesh.peersHeard() == 3; });
+    }
+
+    Platform::VmList list;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::uint64_t incarnation = 0;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(MeshFixture, "mesh_generationOfOneNode_isSeenByAll")
+{
+    REQUIRE(StandIns::eventually([&] { return allLinked(); }, waitMs));
+    nodes[0]->mesh.setState(5, "digest", true);
+    CHECK(StandIns::eventually([&] { return nodes[1]->highestSeen == 5 && nodes[2]->highestSeen == 5 && nodes[3]->highestSeen == 5; }, waitMs));
+    CHECK(nodes[2]->mesh.fetchPart("known", 5, 5'000) == "bytes");
+    CHECK_FALSE(nodes[2]->mesh.fetchPart("unknown", 5, 1'000).has_value());
+    CHECK_FALSE(nodes[2]->mesh.fetchPart("known", 6, 1'000).has_value());
+}
+
+TEST_CASE_FIXTURE(MeshFixture, "mesh_nodeGoneAndBackUnderItsAddress_isSuspectedAndFoundAgain")
+{
+    REQUIRE(StandIns::eventually([&] { return allLinked(); }, waitMs));
+    CHECK(nodes[0]->mesh.unavailable().empty());
+    nodes.pop_back();
+    CHECK(StandIns::eventually([&] { return nodes[0]->mesh.unavailable() == std::vector<std::string>{"n3"}; }, waitMs));
+    start(list.vms[3]);
+    CHECK(StandIns::eventually([&] { return allLinked() && nodes[0]->mesh.unavailable().empty(); }, waitMs));
+}
+
+TEST_CASE_FIXTURE(MeshFixture, "mesh_silentNode_isSuspected")
+{
+    REQUIRE(StandIns::eventually([&] { return allLinked(); }, waitMs));
+    // Its connections stay open, but it neither sends nor dials.
+    nodes[3]->paused = true;
+    CHECK(StandIns::eventually([&] { return nodes[0]->timeline.all().back().kind == Base::EventKind::PeerDown; }, waitMs));
+}
+
+TEST_CASE_FIXTURE(MeshFixture, "mesh_strangersAndGarbage_areRefusedAndDoNoHarm")
+{
+    REQUIRE(StandIns::eventually([&] { return allLinked(); }, waitMs));
+    std::vector<std::string> received;
+    std::atomic<int> closed{0};
+    WebSocketTransport stranger("127.0.0.1", StandIns::freePort());
+    stranger.start({[](ConnectionId, bool, const std::string &) {}, [](ConnectionId, const std::string &) {}, [&](ConnectionId) { ++closed; }});
+    const std::vector<std::string> attacks = {"garbage",
+                                              std::string(1'000'000, '\x81'),
+                                              encodeMessage(Hello{"not-listed", 1}),
+                                              encodeMessage(Heartbeat{}),
+                                              encodeMessage(Hello{"n0", 1})};
+    for (const std::string &attack : attacks) {
+        const ConnectionId id = stranger.connect("127.0.0.1", list.vms[0].nodePort);
+        StandIns::sleepMs(300);
+        stranger.send(id, attack);
+    }
+    CHECK(StandIns::eventually([&] { return closed == static_cast<int>(attacks.size()); }, waitMs));
+    CHECK(nodes[0]->mesh.status().refusedMessages >= attacks.size());
+    CHECK(allLinked());
+    CHECK(nodes[1]->highestSeen <= 1);
+}
+
+TEST_CASE_FIXTURE(MeshFixture, "mesh_reports_reachTheRelaysOfTheZone")
+{
+    REQUIRE(StandIns::eventually([&] { return allLinked(); }, waitMs));
+    nodes[0]->mesh.sendReport({"n0", 1, "{}"});
+    CHECK(StandIns::eventually([&] { return nodes[1]->reports == 1; }, waitMs));
+    // One that claims to come from another VM is not taken.
+    nodes[0]->mesh.sendReport({"n2", 1, "{}"});
+    CHECK(StandIns::eventually([&] { return nodes[1]->mesh.status().refusedMessages == 1; }, waitMs));
+    CHECK(nodes[1]->reports == 1);
+}
+
+TEST_CASE_FIXTURE(MeshFixture, "mesh_newList_reachesNodesThatDoNotAskThePlatform")
+{
+    REQUIRE(StandIns::eventually([&] { return allLinked(); }, waitMs));
+    Platform::VmList next = list;
+    next.version = 2;
+    next.vms.pop_back();
+    nodes[0]->list = next;
+    nodes[0]->mesh.setList(next);
+    CHECK(StandIns::eventually([&] { return nodes[1]->mesh.peersHeard() == 2 && nodes[2]->mesh.peersHeard() == 2; }, waitMs));
+}
--- /dev/null
+++ b/tests/auto/nodes/tst_message.cpp
@@ -0,0 +1,81 @@
+#include <doctest/doctest.h>
+
+#include <nodes/message.h>
+
+#include <nlohmann/json.hpp>
+
+#include <rapidcheck.h>
+
+using namespace Wasabistair;
+using namespace Wasabistair::Nodes;
+
+namespace {
+
+std::vector<Message> samples()
+{
+    Heartbeat beat;
+    beat.sequence = 7;
+    beat.time = {1'800'000'000'000, 3};
+    beat.generation = 12;
+    beat.manifestDigest = std::string(64, 'a');
+    beat.listVersion = 9;
+    beat.available = true;
+    beat.unavailable = {"x", "y"};
+    Platform::VmList list;
+    list.version = 4;
+    list.vms = {{"a", Steering::VmKind::Entry, Steering::VmState::Leaving, "h", 1, 2, "r", "z", "", 5}};
+    Base::Event event{{1, 2}, "n", 3, 4, 5, Base::EventKind::PeerDown, "s", "c"};
+    return {Hello{"node", 5},
+            beat,
+            PartRequest{"digest"},
+            PartReply{"digest", true, std::string("\0\xff binary", 9)},
+            ListRequest{},
+            ListReply{list},
+            Report{"node", 5, "{}"},
+            EventBatch{{event}}};
+}
+
+} // namespace
+
+TEST_CASE("message_eachKind_survivesEncoding")
+{
+    for (const Message &message : samples()) {
+        const auto decoded = decodeMessage(encodeMessage(message));
+        REQUIRE(decoded.has_value());
+        CHECK((*decoded == message));
+    }
+}
+
+TEST_CASE("message_damagedBytes_areRefusedOrDecodedButNeverCrash")
+{
+    const std::vector<Message> all = samples();
+    CHECK(rc::check([&] {
+        std::string bytes = encodeMessage(all[*rc::gen::inRange<std::size_t>(0, all.size())]);
+        const int edits = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < edits && !bytes.empty(); ++i) {
+            const std::size_t position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            switch (*rc::gen::inRange(0, 3)) {
+            case 0:
+                bytes[position] = static_cast<char>(*rc::gen::inRange(0, 256));
+                break;
+            case 1:
+                bytes.resize(position);
+                break;
+            default:
+                bytes.insert(position, 1, static_cast<char>(*rc::gen::inRange(0, 256)));
+            }
+        }
+        static_cast<void>(decodeMessage(bytes));
+    }));
+    CHECK(rc::check([](const std::string &garbage) { static_cast<void>(decodeMessage(garbage)); }));
+}
+
+TEST_CASE("message_deepOrForeign_isRefused")
+{
+    CHECK_FALSE(decodeMessage(std::string(100'000, '\x81')).has_value());
+    CHECK_FALSE(decodeMessage("").has_value());
+    const auto foreign = nlohmann::json::to_cbor({0, messageFormat + 1, "node", 1});
+    CHECK_FALSE(decodeMessage({foreign.begin(), foreign.end()}).has_value());
+    // A length prefix that promises four gigabytes.
+    CHECK_FALSE(decodeMessage(std::string("\x5a\xff\xff\xff\xff", 5)).has_value());
+}
--- /dev/null
+++ b/tests/auto/nodes/tst_topology.cpp
@@ -0,0 +1,97 @@
+#include <doctest/doctest.h>
+
+#include <nodes/topology.h>
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace Wasabistair;
+using namespace Wasabistair::Nodes;
+
+namespace {
+
+std::vector<Steering::Vm> fleetOf(int zones, int vmsPerZone)
+{
+    std::vector<Steering::Vm> vms;
+    for (int zone = 0; zone < zones; ++zone) {
+        for (int i = 0; i < vmsPerZone; ++i) {
+            const std::string name = "z" + std::to_string(zone);
+            vms.push_back({name + "-" + std::to_string(i), Steering::VmKind::Entry, Steering::VmState::Live, "h", 1, 2, "r", name, "", 0});
+        }
+    }
+    return vms;
+}
+
+std::size_t reached(const std::vector<Steering::Vm> &vms, const std::set<std::string> &dead)
+{
+    std::map<std::string, std::set<std::string>> links;
+    for (const Steering::Vm &vm : vms) {
+        if (dead.contains(vm.id)) {
+            continue;
+        }
+        for (const std::string &peer : desiredPeers(vms, vm, dead)) {
+            links[vm.id].insert(peer);
+            links[peer].insert(vm.id);
+        }
+    }
+    std::set<std::string> seen;
+    std::vector<std::string> open;
+    for (const Steering::Vm &vm : vms) {
+        if (!dead.contains(vm.id)) {
+            open = {vm.id};
+            break;
+        }
+    }
+    while (!open.empty()) {
+        const std::string node = open.back();
+        open.pop_back();
+        if (seen.insert(node).second) {
+            open.insert(open.end(), links[node].begin(), links[node].end());
+        }
+    }
+    return seen.size();
+}
+
+} // namespace
+
+TEST_CASE("topology_anyVmsDead_connectsAllThatAreLeft")
+{
+    CHECK(rc::check([] {
+        const auto vms = fleetOf(*rc::gen::inRange(1, 8), *rc::gen::inRange(1, 8));
+        std::set<std::string> dead;
+        for (const Steering::Vm &vm : vms) {
+            if (*rc::gen::inRange(0, 3) == 0) {
+                dead.insert(vm.id);
+            }
+        }
+        if (dead.size() < vms.size()) {
+            RC_ASSERT(reached(vms, dead) == vms.size() - dead.size());
+        }
+    }));
+}
+
+TEST_CASE("topology_sizeOfTheLetter_keepsLinksOfANodeFew")
+{
+    const auto vms = fleetOf(10, 68);
+    std::map<std::string, std::size_t> degree;
+    for (const Steering::Vm &vm : vms) {
+        for (const std::string &peer : desiredPeers(vms, vm, {})) {
+            // Both ends want links between relays; count each once.
+            const auto *other = &peer;
+            const bool both = desiredPeers(vms, *std::find_if(vms.begin(), vms.end(), [&](const auto &v) { return v.id == *other; }), {}).contains(vm.id);
+            if (!both || vm.id < peer) {
+                ++degree[vm.id];
+                ++degree[peer];
+            }
+        }
+    }
+    std::size_t ordinary = 0;
+    for (const auto &[id, links] : degree) {
+        ordinary += links == relaysPerZone ? 1 : 0;
+        // A relay serves its zone and meets the other zones' relays.
+        CHECK(links <= 68 + 9 * relaysPerZone);
+    }
+    CHECK(ordinary == 680 - 10 * relaysPerZone);
+}
