Fence a paused process that was replaced under its id; split the mesh

What the pause limit is for had no test, and was broken: a process paused for less than 20 s and replaced under its own id took the slot back with its older incarnation, and its successor used the slot after 2 s while pauses are noticed from 5 s on. Now a process whose id owns a slot with a later incarnation never claims again, and a successor waits 6 s.

--- a/src/libs/nodes/mesh.cpp
+++ b/src/libs/nodes/mesh.cpp
@@ -1,10 +1,6 @@
 #include "mesh.h"
 
-#include "topology.h"
-
 #include <base/log.h>
-#include <platform/vmlist.h>
-
 #include <algorithm>
 
 namespace Wasabistair::Nodes {
@@ -12,13 +8,8 @@
 namespace {
 
 using Steering::Vm;
-using Steering::VmKind;
 
-constexpr Base::MonotonicMs firstRedialMs = 300;
-constexpr Base::MonotonicMs maxRedialMs = 5'000;
 constexpr Base::MonotonicMs listRequestIntervalMs = 300;
-/// Dials that fail in a row before the peer is suspected.
-constexpr int failuresToSuspect = 2;
 /// A connection that said no hello within this time is closed.
 constexpr Base::MonotonicMs helloTimeoutMs = 3'000;
 
@@ -35,6 +26,7 @@
     , hybridClock_(hybridClock)
     , timeline_(timeline)
     , settings_(std::move(settings))
+    , peers_(settings_.self)
 {}
 
 void Mesh::start(MeshHandlers handlers)
@@ -47,35 +39,12 @@
     transport_.start(std::move(transportHandlers));
 }
 
-const Vm *Mesh::self() const
-{
-    return Platform::findVm(list_, settings_.self);
-}
-
-std::string Mesh::zoneOf(const std::string &node) const
-{
-    const Vm *vm = Platform::findVm(list_, node);
-    return vm ? vm->zone : std::string();
-}
-
 bool Mesh::isListed(const std::string &node, const std::string &remoteHost) const
 {
-    if (list_.vms.empty()) {
+    if (peers_.list().vms.empty()) {
         return std::any_of(settings_.seeds.begin(), settings_.seeds.end(), [&](const Base::HostPort &seed) { return seed.host == remoteHost; });
     }
-    const Vm *vm = Platform::findVm(list_, node);
-    return vm && vm->kind == VmKind::Entry && vm->host == remoteHost;
-}
-
-std::set<std::string> Mesh::suspectsLocked() const
-{
-    std::set<std::string> suspects;
-    for (const auto &[node, dial] : dials_) {
-        if (dial.failures >= failuresToSuspect) {
-            suspects.insert(node);
-        }
-    }
-    return suspects;
+    return peers_.isListed(node, remoteHost);
 }
 
 std::optional<ConnectionId> Mesh::linkTo(const std::string &node) const
@@ -137,16 +106,13 @@
     if (link.greeted) {
         if (!linkTo(link.node)) {
             timeline_.record(Base::EventKind::PeerDown, generation_, link.node, "connection closed");
-            dials_[link.node] = {clock_.monotonic() + firstRedialMs, 1};
+            peers_.connectionLost(link.node, clock_.monotonic());
         }
         partArrived_.notify_all();
         return;
     }
     if (link.outgoing) {
-        Dial &dial = dials_[link.node];
-        ++dial.failures;
-        const Base::MonotonicMs backoff = std::min(maxRedialMs, firstRedialMs << std::min(dial.failures, 5));
-        dial.nextTry = clock_.monotonic() + backoff;
+        peers_.dialFailed(link.node, clock_.monotonic());
     }
 }
 
@@ -176,13 +142,13 @@
     }
     if (link.outgoing && link.node != hello.node) {
         // A seed, or another VM under the same address.
-        dials_.erase(link.node);
+        peers_.forgetDial(link.node);
     }
     const bool known = linkTo(hello.node).has_value();
     link.node = hello.node;
     link.incarnation = hello.incarnation;
     link.greeted = true;
-    dials_[hello.node] = {};
+    peers_.connected(hello.node);
     keepOneLink(id);
     if (!known) {
         timeline_.record(Base::EventKind::PeerUp, generation_, hello.node, "hello");
@@ -203,7 +169,7 @@
         calls.push_back([this, beat] { handlers_.generationSeen(beat.generation, beat.manifestDigest); });
     }
     const Base::MonotonicMs now = clock_.monotonic();
-    if (beat.listVersion > list_.version && now - lastListRequest_ >= listRequestIntervalMs) {
+    if (beat.listVersion > peers_.list().version && now - lastListRequest_ >= listRequestIntervalMs) {
         lastListRequest_ = now;
         transport_.send(id, encodeMessage(ListRequest{}));
     }
@@ -249,14 +215,14 @@
 void Mesh::handle(ConnectionId id, Link &, const EventBatch &batch, Calls &)
 {
     const std::vector<Base::Event> added = timeline_.merge(batch.events);
-    const Vm *own = self();
+    const Vm *own = peers_.self();
     if (!own) {
         return;
     }
     // A relay passes its zone's events on to the relays of other zones; those pass them no further.
     EventBatch onward;
     for (const Base::Event &event : added) {
-        if (zoneOf(event.node) == own->zone) {
+        if (peers_.zoneOf(event.node) == own->zone) {
             onward.events.push_back(event);
         }
     }
@@ -265,7 +231,7 @@
     }
     const std::string bytes = encodeMessage(onward);
     for (const auto &[otherId, other] : links_) {
-        if (otherId != id && other.greeted && zoneOf(other.node) != own->zone) {
+        if (otherId != id && other.greeted && peers_.zoneOf(other.node) != own->zone) {
             transport_.send(otherId, bytes);
         }
     }
@@ -274,25 +240,11 @@
 void Mesh::setList(const Platform::VmList &list)
 {
     const std::lock_guard lock(mutex_);
-    if (list.version < list_.version) {
+    if (!peers_.setList(list, clock_.monotonic())) {
         return;
     }
-    list_ = list;
-    const Base::MonotonicMs now = clock_.monotonic();
-    for (const Vm &vm : list_.vms) {
-        if (vm.kind == VmKind::Entry) {
-            listedSince_.try_emplace(vm.id, now);
-        }
-    }
-    forgetUnlisted();
-}
-
-void Mesh::forgetUnlisted()
-{
-    std::erase_if(listedSince_, [this](const auto &entry) { return !Platform::findVm(list_, entry.first); });
-    std::erase_if(dials_, [this](const auto &entry) { return !Platform::findVm(list_, entry.first); });
     for (const auto &[id, link] : links_) {
-        if (link.greeted && !Platform::findVm(list_, link.node)) {
+        if (link.greeted && !peers_.find(link.node)) {
             transport_.close(id);
         }
     }
@@ -332,28 +284,12 @@
 
 void Mesh::dialWanted()
 {
-    const Vm *own = self();
-    if (!own) {
-        wanted_.clear();
-        for (const Base::HostPort &seed : settings_.seeds) {
-            const std::string key = seedKey(seed);
-            const bool connected
-                = std::any_of(links_.begin(), links_.end(), [&](const auto &entry) { return entry.second.outgoing && entry.second.node == key; });
-            const bool anyGreeted = std::any_of(links_.begin(), links_.end(), [](const auto &entry) { return entry.second.greeted; });
-            if (!connected && !anyGreeted) {
-                dial(key, seed.host, seed.port);
-            }
-        }
+    if (!peers_.self()) {
+        dialSeeds();
         return;
     }
-    wanted_ = desiredPeers(list_.vms, *own, suspectsLocked());
-    std::set<std::string> dialled = wanted_;
-    // Suspected peers are tried on, so that they are found when they come back.
-    for (const std::string &node : desiredPeers(list_.vms, *own, {})) {
-        dialled.insert(node);
-    }
-    for (const std::string &node : dialled) {
-        const Vm *vm = Platform::findVm(list_, node);
+    for (const std::string &node : peers_.worthDialling()) {
+        const Vm *vm = peers_.find(node);
         const bool linked = std::any_of(links_.begin(), links_.end(), [&](const auto &entry) { return entry.second.node == node; });
         if (vm && !linked) {
             dial(node, vm->host, vm->nodePort);
@@ -361,14 +297,24 @@
     }
 }
 
+void Mesh::dialSeeds()
+{
+    const bool anyGreeted = std::any_of(links_.begin(), links_.end(), [](const auto &entry) { return entry.second.greeted; });
+    for (const Base::HostPort &seed : settings_.seeds) {
+        const std::string key = seedKey(seed);
+        const bool dialled = std::any_of(links_.begin(), links_.end(), [&](const auto &entry) { return entry.second.node == key; });
+        if (!anyGreeted && !dialled) {
+            dial(key, seed.host, seed.port);
+        }
+    }
+}
+
 void Mesh::dial(const std::string &key, const std::string &host, std::uint16_t port)
 {
-    Dial &dial = dials_[key];
     const Base::MonotonicMs now = clock_.monotonic();
-    if (now < dial.nextTry) {
+    if (!peers_.startDial(key, now)) {
         return;
     }
-    dial.nextTry = now + maxRedialMs;
     const ConnectionId id = transport_.connect(host, port);
     Link &link = links_[id];
     link.outgoing = true;
@@ -383,13 +329,13 @@
     beat.time = hybridClock_.tick();
     beat.generation = generation_;
     beat.manifestDigest = manifestDigest_;
-    beat.listVersion = list_.version;
+    beat.listVersion = peers_.list().version;
     beat.available = available_;
-    const Vm *own = self();
+    const Vm *own = peers_.self();
     if (own) {
-        const bool sameZone = zoneOf(link.node) == own->zone;
+        const bool sameZone = peers_.zoneOf(link.node) == own->zone;
         for (const std::string &node : unavailableLocked()) {
-            if (beat.unavailable.size() < maxUnavailable && (sameZone || zoneOf(node) == own->zone)) {
+            if (beat.unavailable.size() < maxUnavailable && (sameZone || peers_.zoneOf(node) == own->zone)) {
                 beat.unavailable.push_back(node);
             }
         }
@@ -425,12 +371,8 @@
 void Mesh::sendReport(const Report &report)
 {
     const std::lock_guard lock(mutex_);
-    const Vm *own = self();
-    if (!own) {
-        return;
-    }
     const std::string bytes = encodeMessage(report);
-    for (const std::string &relay : relaysOf(list_.vms, own->zone, suspectsLocked())) {
+    for (const std::string &relay : peers_.ownRelays()) {
         if (const auto id = linkTo(relay)) {
             transport_.send(*id, bytes);
         }
@@ -464,9 +406,7 @@
 
 std::set<std::string> Mesh::unavailableLocked() const
 {
-    const Base::MonotonicMs now = clock_.monotonic();
-    const Vm *own = self();
-    std::set<std::string> result;
+    std::set<std::string> result = peers_.suspects();
     std::set<std::string> heardAvailable;
     for (const auto &[id, link] : links_) {
         if (!link.greeted || !link.beat) {
@@ -479,16 +419,13 @@
             result.insert(link.node);
         }
     }
-    for (const std::string &node : suspectsLocked()) {
-        result.insert(node);
-    }
-    const auto relays = own ? relaysOf(list_.vms, own->zone, {}) : std::vector<std::string>();
-    const bool isOwnRelay = own && std::find(relays.begin(), relays.end(), own->id) != relays.end();
-    for (const auto &[node, since] : listedSince_) {
+    const auto relays = peers_.ownRelaysByList();
+    if (std::find(relays.begin(), relays.end(), settings_.self) != relays.end()) {
         // Members of the own zone connect to its relays; one that does not is not there.
-        const bool missing = isOwnRelay && zoneOf(node) == own->zone && !linkTo(node) && now - since >= joinGraceMs;
-        if (missing) {
-            result.insert(node);
+        for (const std::string &node : peers_.zoneMembersListedFor(joinGraceMs, clock_.monotonic())) {
+            if (!linkTo(node)) {
+                result.insert(node);
+            }
         }
     }
     for (const std::string &node : heardAvailable) {
@@ -508,23 +445,14 @@
 bool Mesh::isRelay() const
 {
     const std::lock_guard lock(mutex_);
-    const Vm *own = self();
-    if (!own) {
-        return false;
-    }
-    std::set<std::string> suspects = suspectsLocked();
-    const auto relays = relaysOf(list_.vms, own->zone, suspects);
-    return std::find(relays.begin(), relays.end(), own->id) != relays.end();
+    const auto relays = peers_.ownRelays();
+    return std::find(relays.begin(), relays.end(), settings_.self) != relays.end();
 }
 
 bool Mesh::hearsRelay() const
 {
     const std::lock_guard lock(mutex_);
-    const Vm *own = self();
-    if (!own) {
-        return false;
-    }
-    const auto relays = relaysOf(list_.vms, own->zone, suspectsLocked());
+    const auto relays = peers_.ownRelays();
     const Base::MonotonicMs now = clock_.monotonic();
     return std::any_of(links_.begin(), links_.end(), [&](const auto &entry) {
         const Link &link = entry.second;
@@ -544,9 +472,9 @@
     status.isRelay = isRelay();
     const std::lock_guard lock(mutex_);
     status.linksUp = static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(), [](const auto &entry) { return entry.second.greeted; }));
-    status.linksWanted = wanted_.size();
+    status.linksWanted = peers_.wanted().size();
     status.refusedMessages = refused_;
-    const std::set<std::string> suspects = suspectsLocked();
+    const std::set<std::string> suspects = peers_.suspects();
     status.suspects.assign(suspects.begin(), suspects.end());
     return status;
 }
--- a/src/libs/nodes/mesh.h
+++ b/src/libs/nodes/mesh.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "message.h"
+#include "peertable.h"
 #include "transport.h"
 
 #include <base/clock.h>
@@ -94,10 +95,6 @@
         std::optional<Heartbeat> beat;
         std::uint64_t lastEventSent = 0;
     };
-    struct Dial {
-        Base::MonotonicMs nextTry = 0;
-        int failures = 0;
-    };
     using Calls = std::vector<std::function<void()>>;
 
     void opened(ConnectionId id, bool outgoing, const std::string &remoteHost);
@@ -114,19 +111,16 @@
     void handle(ConnectionId id, Link &link, const EventBatch &batch, Calls &calls);
 
     [[nodiscard]] bool isListed(const std::string &node, const std::string &remoteHost) const;
-    [[nodiscard]] const Steering::Vm *self() const;
-    [[nodiscard]] std::set<std::string> suspectsLocked() const;
     [[nodiscard]] std::set<std::string> unavailableLocked() const;
     [[nodiscard]] std::optional<ConnectionId> linkTo(const std::string &node) const;
-    [[nodiscard]] std::string zoneOf(const std::string &node) const;
     void keepOneLink(ConnectionId id);
     void dialWanted();
+    void dialSeeds();
     void dial(const std::string &key, const std::string &host, std::uint16_t port);
     void dropSilent();
     void sendBeat(ConnectionId id, Link &link);
     void sendBeats(bool all);
     void sendEvents();
-    void forgetUnlisted();
 
     Transport &transport_;
     const Base::Clock &clock_;
@@ -138,12 +132,9 @@
     mutable std::mutex mutex_;
     std::condition_variable partArrived_;
     std::map<ConnectionId, Link> links_;
-    std::map<std::string, Dial> dials_;
+    PeerTable peers_;
     std::map<std::string, std::string> parts_;
     std::set<std::string> missingParts_;
-    std::map<std::string, Base::MonotonicMs> listedSince_;
-    Platform::VmList list_;
-    std::set<std::string> wanted_;
     std::uint64_t generation_ = 0;
     std::string manifestDigest_;
     bool available_ = false;
--- /dev/null
+++ b/src/libs/nodes/peertable.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <base/clock.h>
+#include <platform/objectstore.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Wasabistair::Nodes {
+
+/// What a process knows of the other entry VMs: the platform's list, and whom it fails to reach.
+/// Single-threaded; its owner locks.
+class PeerTable
+{
+public:
+    /// Dials that fail in a row before a peer is suspected.
+    static constexpr int failuresToSuspect = 2;
+    static constexpr Base::MonotonicMs firstRedialMs = 300;
+    static constexpr Base::MonotonicMs maxRedialMs = 5'000;
+
+    explicit PeerTable(std::string self);
+
+    /// Takes a list that is not older than the present one; false if it is older.
+    bool setList(const Platform::VmList &list, Base::MonotonicMs now);
+    [[nodiscard]] const Platform::VmList &list() const;
+    /// This process's own entry; null while the list is without it.
+    [[nodiscard]] const Steering::Vm *self() const;
+    [[nodiscard]] const Steering::Vm *find(const std::string &node) const;
+    [[nodiscard]] std::string zoneOf(const std::string &node) const;
+    /// True when @p node is a listed entry VM with that address.
+    [[nodiscard]] bool isListed(const std::string &node, const std::string &host) const;
+
+    [[nodiscard]] std::set<std::string> suspects() const;
+    /// Entry VMs that this process is to be connected to, and those it goes on trying though suspected.
+    [[nodiscard]] std::set<std::string> wanted() const;
+    [[nodiscard]] std::set<std::string> worthDialling() const;
+    /// Relays of the own zone; empty while the list is without this process.
+    [[nodiscard]] std::vector<std::string> ownRelays() const;
+    /// As ownRelays(), suspected ones included.
+    [[nodiscard]] std::vector<std::string> ownRelaysByList() const;
+    /// VMs of the own zone that have been listed for at least @p milliseconds.
+    [[nodiscard]] std::vector<std::string> zoneMembersListedFor(Base::MonotonicMs milliseconds, Base::MonotonicMs now) const;
+
+    /// True when @p key may be dialled now; counts as the start of a dial.
+    bool startDial(const std::string &key, Base::MonotonicMs now);
+    void dialFailed(const std::string &key, Base::MonotonicMs now);
+    /// An established connection ended: one failure, and a new dial soon.
+    void connectionLost(const std::string &key, Base::MonotonicMs now);
+    void connected(const std::string &key);
+    void forgetDial(const std::string &key);
+
+private:
+    struct Dial {
+        Base::MonotonicMs nextTry = 0;
+        int failures = 0;
+    };
+
+    const std::string self_;
+    Platform::VmList list_;
+    std::map<std::string, Dial> dials_;
+    std::map<std::string, Base::MonotonicMs> listedSince_;
+};
+
+} // namespace Wasabistair::Nodes
--- a/src/libs/platform/slotclaim.cpp
+++ b/src/libs/platform/slotclaim.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Wasabistair::Platform {
@@ -58,6 +59,12 @@
     return now - entry->second >= goneHoldMs;
 }
 
+bool SlotClaim::isSuperseded(const SlotOwners &owners) const
+{
+    const auto isLater = [this](const auto &entry) { return entry.second.vm == self_.vm && entry.second.incarnation > self_.incarnation; };
+    return std::any_of(owners.begin(), owners.end(), isLater);
+}
+
 bool SlotClaim::mustConfirm() const
 {
     const std::lock_guard lock(mutex_);
@@ -108,7 +115,7 @@
     } else if (value.error->failure != PlatformFailure::NotFound) {
         return false;
     }
-    const auto index = choose(owners, list, vmSlots);
+    const auto index = isSuperseded(owners) ? std::nullopt : choose(owners, list, vmSlots);
     if (!index) {
         const std::lock_guard lock(mutex_);
         index_.reset();
--- a/src/libs/platform/slotclaim.h
+++ b/src/libs/platform/slotclaim.h
@@ -38,8 +38,9 @@
     static constexpr Base::MonotonicMs goneHoldMs = 30'000;
     static constexpr Base::MonotonicMs pauseLimitMs = 5'000;
     static constexpr Base::MonotonicMs contactLimitMs = 20'000;
-    /// A VM that restarts under its own id waits this long before it uses the slot again.
-    static constexpr Base::MonotonicMs restartHoldMs = 2'000;
+    /// A VM that restarts under its own id waits this long before it uses the slot again: an earlier
+    /// process under that id may be paused, and stops believing after pauseLimitMs.
+    static constexpr Base::MonotonicMs restartHoldMs = pauseLimitMs + 1'000;
     /// Lists seen farther apart than this do not show that a VM was gone all the time between.
     static constexpr Base::MonotonicMs observationGapMs = 3'000;
 
@@ -67,6 +68,8 @@
     std::optional<std::int64_t> choose(const SlotOwners &owners, const VmList &list, std::int64_t vmSlots);
     bool isGone(const SlotOwner &owner, const VmList &list);
     [[nodiscard]] bool mustConfirm() const;
+    /// True when a later process under the same id owns a slot: this one was paused and replaced.
+    [[nodiscard]] bool isSuperseded(const SlotOwners &owners) const;
     bool confirm(std::int64_t index, bool restarted);
     [[nodiscard]] bool isIsolated(Base::MonotonicMs now) const;
 
--- a/tests/auto/faults/tst_outage.cpp
+++ b/tests/auto/faults/tst_outage.cpp
@@ -17,6 +17,8 @@
 
 /// An accepted generation is in force everywhere within this time.
 constexpr int inForceLimitMs = 5'000;
+/// Until then a relay may still pass an answer to a watch that was waiting.
+constexpr int cutSettleMs = 500;
 
 FleetPlan planOf(int vmsPerRegion)
 {
@@ -94,6 +96,7 @@
     }
     start();
     relay.setMode(RelayMode::Cut);
+    sleepMs(cutSettleMs);
     const std::uint64_t generation = publishNext();
     REQUIRE(eventually([&] { return fleet.status(0).value("generation", std::uint64_t{0}) >= generation; }, inForceLimitMs));
     fleet.platform().setFaults({.down = true});
@@ -108,6 +111,7 @@
     }
     start();
     relay.setMode(RelayMode::Silent);
+    sleepMs(cutSettleMs);
     const std::uint64_t generation = publishNext();
     CHECK(eventually([&] { return allInForce(generation); }, inForceLimitMs));
 }
--- a/tests/auto/platform/tst_slotclaim.cpp
+++ b/tests/auto/platform/tst_slotclaim.cpp
@@ -148,6 +148,24 @@
     CHECK_FALSE(b.usable().has_value());
 }
 
+TEST_CASE_FIXTURE(SlotFixture, "slot_pausedProcessReplacedUnderItsId_neverUsesTheSlotAgain")
+{
+    CHECK(a.refresh(list, 1));
+    SlotClaim later(store, clock, "r0", "a", 2);
+    later.setRivals(2);
+    CHECK(later.refresh(list, 1));
+    pass(SlotClaim::restartHoldMs, {&later});
+    CHECK(clock.monotonic() >= later.gainHoldUntil());
+    // The earlier process goes on. Its last contact is recent, but its pause was too long.
+    CHECK_FALSE(a.usable().has_value());
+    a.observeContact();
+    a.tick();
+    CHECK_FALSE(a.refresh(list, 1));
+    CHECK_FALSE(a.usable().has_value());
+    CHECK(later.refresh(list, 1));
+    CHECK(later.usable().has_value());
+}
+
 TEST_CASE_FIXTURE(SlotFixture, "slot_released_isFreeAtOnce")
 {
     CHECK(a.refresh(list, 1));
