--- a/src/libs/callers/callerexchange.cpp
+++ b/src/libs/callers/callerexchange.cpp
@@ -120,8 +120,7 @@
     try {
         // Fails when the caller has closed already.
         socket_.shutdown();
-    } catch (const Poco::Exception &) {
-    }
+    } catch (const Poco::Exception &) {}
     socket_.close();
 }
 
--- a/src/libs/callers/forwarder.cpp
+++ b/src/libs/callers/forwarder.cpp
@@ -46,8 +46,7 @@
     RouteHold(Router &router, const Route &route)
         : router_(router)
         , route_(route)
-    {
-    }
+    {}
     ~RouteHold()
     {
         router_.release(route_);
@@ -68,8 +67,7 @@
         : pool_(pool)
         , server_(server)
         , session_(std::move(session))
-    {
-    }
+    {}
     ~ConnectionHold()
     {
         pool_.release(server_, std::move(session_), reusable_);
--- a/src/libs/nodes/mesh.cpp
+++ b/src/libs/nodes/mesh.cpp
@@ -1,7 +1,7 @@
 #include "mesh.h"
 
-#include <base/log.h>
 #include <algorithm>
+#include <base/log.h>
 
 namespace Wasabistair::Nodes {
 
--- a/src/libs/nodes/peertable.cpp
+++ b/src/libs/nodes/peertable.cpp
@@ -19,8 +19,7 @@
 
 PeerTable::PeerTable(std::string self)
     : self_(std::move(self))
-{
-}
+{}
 
 bool PeerTable::setList(const Platform::VmList &list, Base::MonotonicMs now)
 {
--- a/src/libs/platform/slotclaim.cpp
+++ b/src/libs/platform/slotclaim.cpp
@@ -30,7 +30,8 @@
         SlotOwners owners;
         const Json parsed = Json::parse(bytes);
         for (const auto &[key, value] : parsed.items()) {
-            owners[std::stoll(key)] = {value.at("vm").get<std::string>(), value.at("incarnation").get<std::uint64_t>(), value.at("confirmations").get<std::uint64_t>()};
+            owners[std::stoll(key)]
+                = {value.at("vm").get<std::string>(), value.at("incarnation").get<std::uint64_t>(), value.at("confirmations").get<std::uint64_t>()};
         }
         return owners;
     } catch (const std::exception &) {
--- a/src/libs/upstreams/upstreamsession.cpp
+++ b/src/libs/upstreams/upstreamsession.cpp
@@ -67,8 +67,7 @@
     try {
         // Fails when the other end has closed already.
         socket().shutdown();
-    } catch (const Poco::Exception &) {
-    }
+    } catch (const Poco::Exception &) {}
     socket().close();
 }
 
--- a/tests/auto/callers/tst_malformed.cpp
+++ b/tests/auto/callers/tst_malformed.cpp
@@ -66,18 +66,18 @@
         {"long target", "GET /" + std::string(20'000, 'x') + " HTTP/1.1\r\n" + host + "\r\n", bad},
         {"long value", "GET / HTTP/1.1\r\n" + host + "X-A: " + std::string(20'000, 'x') + "\r\n\r\n", bad},
         {"many headers",
-         [] {
-             std::string text = "GET / HTTP/1.1\r\n" + host;
-             for (int i = 0; i < 500; ++i) {
-                 text += "X-" + std::to_string(i) + ": 1\r\n";
-             }
-             return text + "\r\n";
-         }(),
-         bad},
+            [] {
+                std::string text = "GET / HTTP/1.1\r\n" + host;
+                for (int i = 0; i < 500; ++i) {
+                    text += "X-" + std::to_string(i) + ": 1\r\n";
+                }
+                return text + "\r\n";
+            }(),
+            bad},
         {"chunk size that is no number", "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 4"},
         {"chunk cut by a smuggled request",
-         "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n" + host + "\r\n",
-         "HTTP/1.1 4"},
+            "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n" + host + "\r\n",
+            "HTTP/1.1 4"},
         {"unknown host", "GET /x HTTP/1.1\r\nHost: nobody.test\r\n\r\n", "HTTP/1.1 404"},
         {"unknown control path", "GET /v1/none HTTP/1.1\r\nHost: nobody.test\r\n\r\n", "HTTP/1.1 404"},
         {"post to a look-up", "POST /v1/lookup HTTP/1.1\r\nHost: nobody.test\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 405"},
--- a/tests/auto/faults/tst_connections.cpp
+++ b/tests/auto/faults/tst_connections.cpp
@@ -42,7 +42,8 @@
 Poco::Net::StreamSocket stalledUpload(const Base::HostPort &entry, const std::string &id, std::size_t sent)
 {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(entry.host, entry.port));
-    const std::string head = "PUT /drawings/1 HTTP/1.1\r\nHost: orders.test\r\nX-Request-Id: " + id + "\r\nX-Body-Bytes: 8000000\r\nContent-Length: 8000000\r\n\r\n";
+    const std::string head
+        = "PUT /drawings/1 HTTP/1.1\r\nHost: orders.test\r\nX-Request-Id: " + id + "\r\nX-Body-Bytes: 8000000\r\nContent-Length: 8000000\r\n\r\n";
     socket.sendBytes(head.data(), static_cast<int>(head.size()));
     const std::string body(sent, 'u');
     std::size_t done = 0;
--- a/tests/auto/nodes/tst_mesh.cpp
+++ b/tests/auto/nodes/tst_mesh.cpp
@@ -69,7 +69,8 @@
         list.version = 1;
         for (int i = 0; i < 4; ++i) {
             const std::string zone = i < 2 ? "z0" : "z1";
-            list.vms.push_back({"n" + std::to_string(i), Steering::VmKind::Entry, Steering::VmState::Live, "127.0.0.1", 1, StandIns::freePort(), "r", zone, "", 0});
+            list.vms.push_back(
+                {"n" + std::to_string(i), Steering::VmKind::Entry, Steering::VmState::Live, "127.0.0.1", 1, StandIns::freePort(), "r", zone, "", 0});
         }
         for (const Steering::Vm &vm : list.vms) {
             start(vm);
@@ -131,11 +132,8 @@
     std::atomic<int> closed{0};
     WebSocketTransport stranger("127.0.0.1", StandIns::freePort());
     stranger.start({[](ConnectionId, bool, const std::string &) {}, [](ConnectionId, const std::string &) {}, [&](ConnectionId) { ++closed; }});
-    const std::vector<std::string> attacks = {"garbage",
-                                              std::string(1'000'000, '\x81'),
-                                              encodeMessage(Hello{"not-listed", 1}),
-                                              encodeMessage(Heartbeat{}),
-                                              encodeMessage(Hello{"n0", 1})};
+    const std::vector<std::string> attacks
+        = {"garbage", std::string(1'000'000, '\x81'), encodeMessage(Hello{"not-listed", 1}), encodeMessage(Heartbeat{}), encodeMessage(Hello{"n0", 1})};
     for (const std::string &attack : attacks) {
         const ConnectionId id = stranger.connect("127.0.0.1", list.vms[0].nodePort);
         StandIns::sleepMs(300);
--- a/tests/auto/nodes/tst_message.cpp
+++ b/tests/auto/nodes/tst_message.cpp
@@ -25,14 +25,8 @@
     list.version = 4;
     list.vms = {{"a", Steering::VmKind::Entry, Steering::VmState::Leaving, "h", 1, 2, "r", "z", "", 5}};
     Base::Event event{{1, 2}, "n", 3, 4, 5, Base::EventKind::PeerDown, "s", "c"};
-    return {Hello{"node", 5},
-            beat,
-            PartRequest{"digest"},
-            PartReply{"digest", true, std::string("\0\xff binary", 9)},
-            ListRequest{},
-            ListReply{list},
-            Report{"node", 5, "{}"},
-            EventBatch{{event}}};
+    return {Hello{"node", 5}, beat, PartRequest{"digest"}, PartReply{"digest", true, std::string("\0\xff binary", 9)}, ListRequest{}, ListReply{list},
+        Report{"node", 5, "{}"}, EventBatch{{event}}};
 }
 
 } // namespace
--- a/tests/auto/operators/tst_declarations.cpp
+++ b/tests/auto/operators/tst_declarations.cpp
@@ -38,9 +38,8 @@
 
     static const LocatedFault *find(const Declarations &declarations, Steering::FaultKind kind, const std::string &object)
     {
-        const auto found = std::find_if(declarations.faults.begin(), declarations.faults.end(), [&](const LocatedFault &fault) {
-            return fault.fault.kind == kind && fault.fault.object == object;
-        });
+        const auto found = std::find_if(declarations.faults.begin(), declarations.faults.end(),
+            [&](const LocatedFault &fault) { return fault.fault.kind == kind && fault.fault.object == object; });
         return found == declarations.faults.end() ? nullptr : &*found;
     }
 
--- a/tests/auto/operators/tst_review.cpp
+++ b/tests/auto/operators/tst_review.cpp
@@ -78,7 +78,8 @@
     json["version"] = reviewVersion + 1;
     CHECK_FALSE(decodeReview(json.dump()).has_value());
     nlohmann::json bucket = nlohmann::json::parse(encodeReview(ReviewObject{}));
-    bucket["retired"]["places"] = {{{"service", "s"}, {"place", "p"}, {"latency", {9'999, 1}}, {"answered", 1}, {"refused", 0}, {"failed", 0}, {"usable", 0}, {"used", 0}, {"peak", 0}}};
+    bucket["retired"]["places"] = {
+        {{"service", "s"}, {"place", "p"}, {"latency", {9'999, 1}}, {"answered", 1}, {"refused", 0}, {"failed", 0}, {"usable", 0}, {"used", 0}, {"peak", 0}}};
     CHECK_FALSE(decodeReview(bucket.dump()).has_value());
 }
 
--- a/tests/benchmarks/bench_blocks.cpp
+++ b/tests/benchmarks/bench_blocks.cpp
@@ -61,8 +61,10 @@
     }
     const double cpu = static_cast<double>(fleet.vms()[0].process->cpuMs() - cpuBefore) / changes;
     constexpr double megabyte = 1 << 20;
-    std::printf("%zu blocks: content %.2f MB in %zu parts, resident %.1f MB, highest during changes %.1f MB, processor %.0f ms a change, bytes moved by the last change %zu (%d changes so far)\n",
-                count, static_cast<double>(total) / megabyte, content.parts.size(), static_cast<double>(resting) / megabyte, static_cast<double>(peak) / megabyte, cpu, moved, changes);
+    std::printf("%zu blocks: content %.2f MB in %zu parts, resident %.1f MB, highest during changes %.1f MB, processor %.0f ms a change, bytes moved by the "
+                "last change %zu (%d changes so far)\n",
+        count, static_cast<double>(total) / megabyte, content.parts.size(), static_cast<double>(resting) / megabyte, static_cast<double>(peak) / megabyte, cpu,
+        moved, changes);
 }
 
 } // namespace
--- a/tests/benchmarks/bench_choice.cpp
+++ b/tests/benchmarks/bench_choice.cpp
@@ -230,11 +230,9 @@
 int main()
 {
     const std::vector<Deployment> deployments = {{"order-ledger", 24, 4, 20}, {"commission-desk", 12, 4, 20}, {"pattern-archive", 12, 3, 200},
-                                                 {"glowcat", 16, 6, 10},      {"glowcart", 12, 3, 30},         {"printdrop", 12, 3, 300}};
-    const std::vector<std::pair<Way, const char *>> ways = {{Way::RoundRobin, "round robin"},
-                                                            {Way::LeastReportedLoad, "least reported load (1 s lag)"},
-                                                            {Way::TwoChoices, "two choices by own requests"},
-                                                            {Way::TwoChoicesOwnUnits, "two choices by own free units"}};
+        {"glowcat", 16, 6, 10}, {"glowcart", 12, 3, 30}, {"printdrop", 12, 3, 300}};
+    const std::vector<std::pair<Way, const char *>> ways = {{Way::RoundRobin, "round robin"}, {Way::LeastReportedLoad, "least reported load (1 s lag)"},
+        {Way::TwoChoices, "two choices by own requests"}, {Way::TwoChoicesOwnUnits, "two choices by own free units"}};
     std::printf("| service | load | way | p50 ms | p99 ms | shed %% |\n|---|---|---|---|---|---|\n");
     for (const Deployment &deployment : deployments) {
         for (const double load : {0.5, 0.8}) {
--- a/tests/benchmarks/bench_decision.cpp
+++ b/tests/benchmarks/bench_decision.cpp
@@ -32,7 +32,8 @@
     inputs.now = now;
     for (const Place &place : configuration->objects.places) {
         for (int i = 0; i < 100; ++i) {
-            inputs.vms.push_back({place.region + "-server" + std::to_string(i), VmKind::Upstream, VmState::Live, "h", 1, 0, place.region, place.zones[static_cast<std::size_t>(i) % place.zones.size()], "s", 0});
+            inputs.vms.push_back({place.region + "-server" + std::to_string(i), VmKind::Upstream, VmState::Live, "h", 1, 0, place.region,
+                place.zones[static_cast<std::size_t>(i) % place.zones.size()], "s", 0});
         }
     }
     return buildRoutingTable(inputs, previous);
@@ -96,8 +97,8 @@
         sample = std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::steady_clock::now() - begin).count();
     }
     std::sort(samples.begin(), samples.end());
-    std::cout << "decision_ns p50=" << samples[samples.size() / 2] << " p99=" << samples[samples.size() * 99 / 100] << " p99.9=" << samples[samples.size() * 999 / 1000]
-              << " blocks=" << blocks << std::endl;
+    std::cout << "decision_ns p50=" << samples[samples.size() / 2] << " p99=" << samples[samples.size() * 99 / 100]
+              << " p99.9=" << samples[samples.size() * 999 / 1000] << " blocks=" << blocks << std::endl;
     std::atomic<bool> stop{false};
     std::thread publisher([&] {
         for (std::uint64_t generation = 2; !stop; ++generation) {
@@ -109,6 +110,7 @@
     const double eight = throughput(pointer, 8, 4'000);
     stop = true;
     publisher.join();
-    std::cout << "decisions_per_second one_thread=" << one << " eight_threads=" << eight << " ratio=" << eight / one << " (a generation published every second)" << std::endl;
+    std::cout << "decisions_per_second one_thread=" << one << " eight_threads=" << eight << " ratio=" << eight / one << " (a generation published every second)"
+              << std::endl;
     return 0;
 }
--- a/tests/benchmarks/bench_fleet.cpp
+++ b/tests/benchmarks/bench_fleet.cpp
@@ -63,9 +63,8 @@
 Sample sampleOf(Fleet &fleet, std::size_t index)
 {
     const std::string text = fetch(fleet.vms()[index].address(), "/metrics");
-    return {metric(text, "node_bytes_sent_total") + metric(text, "node_bytes_received_total"),
-            metric(text, "platform_bytes_total"),
-            fleet.vms()[index].process->cpuMs()};
+    return {metric(text, "node_bytes_sent_total") + metric(text, "node_bytes_received_total"), metric(text, "platform_bytes_total"),
+        fleet.vms()[index].process->cpuMs()};
 }
 
 template<typename F>
@@ -165,8 +164,9 @@
     sortAll(platformBytes);
     sortAll(cpu);
     sortAll(memory);
-    std::printf("%zu processes: node bytes/s median %.0f max %.0f; platform bytes/s median %.0f max %.0f; processor %% median %.2f max %.2f; memory MB median %.1f max %.1f\n",
-                count, bytes[count / 2], bytes.back(), platformBytes[count / 2], platformBytes.back(), cpu[count / 2], cpu.back(), memory[count / 2], memory.back());
+    std::printf("%zu processes: node bytes/s median %.0f max %.0f; platform bytes/s median %.0f max %.0f; processor %% median %.2f max %.2f; memory MB median "
+                "%.1f max %.1f\n",
+        count, bytes[count / 2], bytes.back(), platformBytes[count / 2], platformBytes.back(), cpu[count / 2], cpu.back(), memory[count / 2], memory.back());
     std::printf("%zu processes: platform calls/s:", count);
     for (const auto &[kind, calls] : callsAfter) {
         const auto found = callsBefore.find(kind);
@@ -202,11 +202,9 @@
         }
         return total;
     };
-    std::printf("%zu processes: calls/s in the 10 s after an outage of 20 s: %.1f (counted before the outage %llu, within it %llu)\n",
-                count,
-                static_cast<double>(sum(calls) - sum(outageAfter)) / 10,
-                static_cast<unsigned long long>(sum(outageBefore)),
-                static_cast<unsigned long long>(sum(outageAfter) - sum(outageBefore)));
+    std::printf("%zu processes: calls/s in the 10 s after an outage of 20 s: %.1f (counted before the outage %llu, within it %llu)\n", count,
+        static_cast<double>(sum(calls) - sum(outageAfter)) / 10, static_cast<unsigned long long>(sum(outageBefore)),
+        static_cast<unsigned long long>(sum(outageAfter) - sum(outageBefore)));
 }
 
 } // namespace
--- a/tests/benchmarks/bench_path.cpp
+++ b/tests/benchmarks/bench_path.cpp
@@ -55,15 +55,9 @@
         const auto plain = runLoad(direct);
         const auto routed = runLoad(through);
         std::printf("added latency round %d: direct p50 %.3f p99 %.3f ms, through p50 %.3f p99 %.3f ms, added p50 %.3f p99 %.3f ms (%zu and %zu requests)\n",
-                    round,
-                    ms(plain, CallerResult::Answered, 0.5),
-                    ms(plain, CallerResult::Answered, 0.99),
-                    ms(routed, CallerResult::Answered, 0.5),
-                    ms(routed, CallerResult::Answered, 0.99),
-                    ms(routed, CallerResult::Answered, 0.5) - ms(plain, CallerResult::Answered, 0.5),
-                    ms(routed, CallerResult::Answered, 0.99) - ms(plain, CallerResult::Answered, 0.99),
-                    plain.size(),
-                    routed.size());
+            round, ms(plain, CallerResult::Answered, 0.5), ms(plain, CallerResult::Answered, 0.99), ms(routed, CallerResult::Answered, 0.5),
+            ms(routed, CallerResult::Answered, 0.99), ms(routed, CallerResult::Answered, 0.5) - ms(plain, CallerResult::Answered, 0.5),
+            ms(routed, CallerResult::Answered, 0.99) - ms(plain, CallerResult::Answered, 0.99), plain.size(), routed.size());
     }
     LoadPlan orders = through;
     orders.postPercent = 100;
@@ -85,11 +79,9 @@
     const std::int64_t before = fleet.vms()[0].process->cpuMs();
     const auto records = runLoad(load);
     const std::int64_t used = fleet.vms()[0].process->cpuMs() - before;
-    std::printf("look-ups: %.0f/s by one process, p50 %.3f p99 %.3f ms, %.1f us of processor time each\n",
-                static_cast<double>(records.size()) / 5,
-                ms(records, CallerResult::Answered, 0.5),
-                ms(records, CallerResult::Answered, 0.99),
-                static_cast<double>(used) * usPerMs / static_cast<double>(records.size()));
+    std::printf("look-ups: %.0f/s by one process, p50 %.3f p99 %.3f ms, %.1f us of processor time each\n", static_cast<double>(records.size()) / 5,
+        ms(records, CallerResult::Answered, 0.5), ms(records, CallerResult::Answered, 0.99),
+        static_cast<double>(used) * usPerMs / static_cast<double>(records.size()));
 }
 
 void overload()
@@ -124,17 +116,11 @@
         if (times == 1) {
             atCapacity = counts["answered"];
         }
-        std::printf("overload: %d callers, asked %.1f times capacity, answered %zu (%.0f %% of those at capacity), answered p99 %.1f ms, refused %zu, refused p50 %.2f p99 %.2f ms, shed by servers %llu, %s\n",
-                    load.callers,
-                    static_cast<double>(records.size()) / 5 / capacity,
-                    counts["answered"],
-                    100.0 * static_cast<double>(counts["answered"]) / static_cast<double>(atCapacity),
-                    ms(records, CallerResult::Answered, 0.99),
-                    counts["not-run"],
-                    ms(records, CallerResult::NotRun, 0.5),
-                    ms(records, CallerResult::NotRun, 0.99),
-                    static_cast<unsigned long long>(shed),
-                    describe(findings).c_str());
+        std::printf("overload: %d callers, asked %.1f times capacity, answered %zu (%.0f %% of those at capacity), answered p99 %.1f ms, refused %zu, refused "
+                    "p50 %.2f p99 %.2f ms, shed by servers %llu, %s\n",
+            load.callers, static_cast<double>(records.size()) / 5 / capacity, counts["answered"],
+            100.0 * static_cast<double>(counts["answered"]) / static_cast<double>(atCapacity), ms(records, CallerResult::Answered, 0.99), counts["not-run"],
+            ms(records, CallerResult::NotRun, 0.5), ms(records, CallerResult::NotRun, 0.99), static_cast<unsigned long long>(shed), describe(findings).c_str());
     }
 }
 
--- a/tests/benchmarks/blocks.h
+++ b/tests/benchmarks/blocks.h
@@ -1,6 +1,5 @@
 #pragma once
 
-
 #include <steering/objects.h>
 
 #include <nlohmann/json.hpp>
