--- a/scripts/check-guards.sh
+++ b/scripts/check-guards.sh
@@ -6,7 +6,7 @@
 copy=build-unguarded/tree
 rm -rf "$copy"
 mkdir -p "$copy"
-git ls-files -co --exclude-standard | tar cf - -T - | tar xf - -C "$copy"
+git ls-files -co --exclude-standard | tar cf - -T - | tar xmf - -C "$copy"
 cmake -G Ninja -S "$copy" -B build-unguarded/build -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 export WASABISTAIR_BIN=$PWD/build-unguarded/build/bin RC_PARAMS="seed=20261204 max_success=300"
 jobs=${JOBS:-$(nproc)}
