Move lists as differences and cut the mesh's bytes

Cause (bench_fleet, 51 processes, zones of 8.5): a relay's bytes grow by about 360 B/s for each member of its zone (heartbeat 155, two reports of 2 KB every 10 s), which would be 30 KB/s in a zone of 68, and the whole list of VMs went to every relay and member at each change (about 480 KB at 680 VMs). Ruled out: events (none in calm).

Cause (bench_fleet, a third cut off): 4.0 s at the worst VM, two reads of a silent platform, since the platform was asked before the peers that had announced the generation. Change: peers first.

--- a/src/app/configurationfeed.cpp
+++ b/src/app/configurationfeed.cpp
@@ -109,7 +109,8 @@
 std::int64_t ConfigurationFeed::listStep()
 {
     const bool direct = asksPlatform() || list().version == Platform::noVersion;
-    const auto listed = Platform::tryStore([&] { return store_.vms(); });
+    const Platform::Version known = list().version;
+    const auto listed = Platform::tryStore([&] { return store_.vms(known); });
     if (!listed) {
         notePlatform(false);
         return jittered(std::max(listIntervalMs, backoffMs_.load()));
@@ -119,9 +120,18 @@
     return direct ? jittered(listIntervalMs) : jittered(servedIntervalMs);
 }
 
-void ConfigurationFeed::listSeen(const Platform::VmList &list)
+void ConfigurationFeed::listSeen(const Platform::ListDelta &delta)
 {
-    takeList(list);
+    if (const auto next = Platform::applyDelta(list(), delta)) {
+        takeList(*next);
+    }
+}
+
+Platform::ListDelta ConfigurationFeed::listDelta(Platform::Version known) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto earlier = std::find_if(earlierLists_.begin(), earlierLists_.end(), [known](const Platform::VmList &list) { return list.version == known; });
+    return Platform::deltaBetween(earlier == earlierLists_.end() ? Platform::VmList{} : *earlier, list_);
 }
 
 void ConfigurationFeed::takeList(const Platform::VmList &list)
@@ -131,6 +141,10 @@
         if (list.version <= list_.version) {
             return;
         }
+        earlierLists_.push_back(std::move(list_));
+        if (earlierLists_.size() > maxEarlierLists) {
+            earlierLists_.pop_front();
+        }
         list_ = list;
     }
     slot_.observeList(list);
@@ -241,18 +255,13 @@
 
 std::optional<std::string> ConfigurationFeed::fetch(const std::string &digest, std::uint64_t generation)
 {
-    const bool platformFirst = asksPlatform() && platformReachable_;
-    const auto fromPlatform = [&]() -> std::optional<std::string> {
-        const auto value = Platform::tryStore([&] { return store_.get(Platform::partKey(digest)); });
-        return value ? std::optional(value.value->value) : std::nullopt;
-    };
-    if (platformFirst) {
-        if (auto bytes = fromPlatform()) {
-            return bytes;
-        }
+    // Peers first: the answer is immediate where none has the generation, and a platform that is cut
+    // off silently would cost its whole timeout for each part.
+    if (auto bytes = mesh_.fetchPart(digest, generation, partTimeoutMs)) {
+        return bytes;
     }
-    auto bytes = mesh_.fetchPart(digest, generation, partTimeoutMs);
-    return bytes || platformFirst ? bytes : fromPlatform();
+    const auto value = Platform::tryStore([&] { return store_.get(Platform::partKey(digest)); });
+    return value ? std::optional(value.value->value) : std::nullopt;
 }
 
 } // namespace Wasabistair::App
--- a/src/app/configurationfeed.h
+++ b/src/app/configurationfeed.h
@@ -9,9 +9,10 @@
 #include <platform/objectstore.h>
 #include <platform/publication.h>
 #include <platform/slotclaim.h>
+#include <platform/vmlist.h>
 
 #include <atomic>
-#include <condition_variable>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -31,6 +32,7 @@
     static constexpr std::int64_t listIntervalMs = 1'500;
     /// Interval of a VM that is served by its relays.
     static constexpr std::int64_t servedIntervalMs = 30'000;
+    static constexpr std::size_t maxEarlierLists = 16;
     static constexpr std::int64_t firstBackoffMs = 250;
     static constexpr std::int64_t maxBackoffMs = 4'000;
     static constexpr Base::MonotonicMs partTimeoutMs = 1'500;
@@ -44,7 +46,9 @@
     /// A peer has this generation.
     void generationSeen(std::uint64_t generation, const std::string &manifestDigest);
     /// A peer sent this list.
-    void listSeen(const Platform::VmList &list);
+    void listSeen(const Platform::ListDelta &delta);
+    /// For peers whose list is older; see MeshHandlers::listDelta.
+    [[nodiscard]] Platform::ListDelta listDelta(Platform::Version known) const;
     [[nodiscard]] Platform::VmList list() const;
     [[nodiscard]] bool platformReachable() const;
 
@@ -79,6 +83,8 @@
 
     mutable std::mutex mutex_;
     Platform::VmList list_;
+    // Earlier lists, newest last, so that peers get what changed instead of the whole.
+    std::deque<Platform::VmList> earlierLists_;
     std::optional<Nodes::GenerationId> candidate_;
     // History of the head as last read from the platform.
     Platform::Head head_;
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -100,11 +100,11 @@
     {
         Nodes::MeshHandlers handlers;
         handlers.generationSeen = [this](std::uint64_t generation, const std::string &digest) { feed_.generationSeen(generation, digest); };
-        handlers.listReceived = [this](const Platform::VmList &list) { feed_.listSeen(list); };
+        handlers.listReceived = [this](const Platform::ListDelta &delta) { feed_.listSeen(delta); };
         handlers.reportReceived = [this](const Nodes::Report &report) { zoneWriter_.receive(report); };
         handlers.contact = [this] { slot_.observeContact(); };
         handlers.part = [this](const std::string &digest) { return generations_.part(digest); };
-        handlers.list = [this] { return feed_.list(); };
+        handlers.listDelta = [this](Platform::Version known) { return feed_.listDelta(known); };
         mesh_.start(std::move(handlers));
     }
 
@@ -191,11 +191,11 @@
         const auto [month, figures] = recorder_.figures();
         const Nodes::Report own{settings_.vm, identity_.incarnation, encodeReport(status(), month, figures)};
         mesh_.sendReport(own);
-        const bool relay = mesh_.isRelay();
-        if (relay) {
+        const bool collects = mesh_.isFirstRelay();
+        if (collects) {
             zoneWriter_.receive(own);
         }
-        zoneWriter_.flush(relay && !engine_.isDraining());
+        zoneWriter_.flush(collects && !engine_.isDraining());
         return settings_.reportIntervalMs;
     }
 
--- a/src/app/daemonsettings.cpp
+++ b/src/app/daemonsettings.cpp
@@ -63,7 +63,7 @@
         integer("idle-timeout-ms", 60'000, 100, hourMs, "Longest idle time of a caller's connection, in ms."),
         integer("body-timeout-ms", 120'000, 100, hourMs, "Longest time for a request's body, in ms."),
         integer("buffer-bytes", 96 << 20, 1 << 16, std::int64_t{1} << 40, "Memory for request bodies, in bytes."),
-        integer("report-interval-ms", 5'000, 200, hourMs, "Interval of reports to the zone's status and review, in ms."),
+        integer("report-interval-ms", 30'000, 200, hourMs, "Interval of reports to the zone's status and review, in ms."),
         flag("trust-client-parameter", "Look-ups may name the caller's address with ?client=."), text("log-level", "info", "debug, info, warning or error."),
         flag("print-settings", "Print all settings and end.")};
 }
--- a/src/app/zonewriter.cpp
+++ b/src/app/zonewriter.cpp
@@ -2,7 +2,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <Poco/DeflatingStream.h>
+#include <Poco/InflatingStream.h>
+
 #include <set>
+#include <sstream>
 
 namespace Wasabistair::App {
 
@@ -10,6 +14,28 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t maxBodyBytes = 512 * 1024;
+
+std::string deflated(const std::string &text)
+{
+    std::ostringstream out;
+    Poco::DeflatingOutputStream stream(out);
+    stream << text;
+    stream.close();
+    return out.str();
+}
+
+/// At most maxBodyBytes; empty when malformed.
+std::string inflated(const std::string &bytes)
+{
+    std::istringstream in(bytes);
+    Poco::InflatingInputStream stream(in);
+    std::string text(maxBodyBytes, '\0');
+    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<std::size_t>(stream.gcount()));
+    return text;
+}
+
 /// Reads, changes and conditionally writes one object. @p change returns the new bytes.
 template<typename F>
 bool update(Platform::ObjectStore &store, const std::string &key, F &&change)
@@ -41,7 +67,7 @@
 
 std::string encodeReport(const Json &status, const std::string &month, const Operators::Figures &figures)
 {
-    return Json{{"status", status}, {"month", month}, {"figures", Operators::figuresToJson(figures)}}.dump();
+    return deflated(Json{{"status", status}, {"month", month}, {"figures", Operators::figuresToJson(figures)}}.dump());
 }
 
 ZoneWriter::ZoneWriter(Platform::ObjectStore &store, const Base::Clock &clock, std::string zone, std::string vm, std::uint64_t incarnation)
@@ -53,7 +79,7 @@
 
 void ZoneWriter::receive(const Nodes::Report &report)
 {
-    const Json json = Json::parse(report.body, nullptr, false);
+    const Json json = Json::parse(inflated(report.body), nullptr, false);
     if (!json.is_object() || !json.contains("status") || !json.contains("month") || !json["month"].is_string() || !json.contains("figures")) {
         return;
     }
--- a/src/app/zonewriter.h
+++ b/src/app/zonewriter.h
@@ -58,7 +58,7 @@
 [[nodiscard]] std::string statusPrefix();
 [[nodiscard]] std::string statusKey(const std::string &zone);
 
-/// Body of a report: status, month and figures.
+/// Compressed body of a report: status, month and figures.
 [[nodiscard]] std::string encodeReport(const nlohmann::json &status, const std::string &month, const Operators::Figures &figures);
 
 } // namespace Wasabistair::App
--- a/src/libs/nodes/mesh.cpp
+++ b/src/libs/nodes/mesh.cpp
@@ -165,13 +165,13 @@
     hybridClock_.merge(beat.time);
     link.beat = beat;
     calls.push_back(handlers_.contact);
-    if (beat.generation > generation_) {
+    if (beat.generation > generation_ && !beat.manifestDigest.empty()) {
         calls.push_back([this, beat] { handlers_.generationSeen(beat.generation, beat.manifestDigest); });
     }
     const Base::MonotonicMs now = clock_.monotonic();
     if (beat.listVersion > peers_.list().version && now - lastListRequest_ >= listRequestIntervalMs) {
         lastListRequest_ = now;
-        transport_.send(id, encodeMessage(ListRequest{}));
+        transport_.send(id, encodeMessage(ListRequest{peers_.list().version}));
     }
 }
 
@@ -193,14 +193,14 @@
     partArrived_.notify_all();
 }
 
-void Mesh::handle(ConnectionId id, Link &, const ListRequest &, Calls &calls)
+void Mesh::handle(ConnectionId id, Link &, const ListRequest &request, Calls &calls)
 {
-    calls.push_back([this, id] { transport_.send(id, encodeMessage(ListReply{handlers_.list()})); });
+    calls.push_back([this, id, known = request.known] { transport_.send(id, encodeMessage(ListReply{handlers_.listDelta(known)})); });
 }
 
 void Mesh::handle(ConnectionId, Link &, const ListReply &reply, Calls &calls)
 {
-    calls.push_back([this, list = reply.list] { handlers_.listReceived(list); });
+    calls.push_back([this, delta = reply.delta] { handlers_.listReceived(delta); });
 }
 
 void Mesh::handle(ConnectionId, Link &link, const Report &report, Calls &calls)
@@ -328,7 +328,10 @@
     beat.sequence = ++sequence_;
     beat.time = hybridClock_.tick();
     beat.generation = generation_;
-    beat.manifestDigest = manifestDigest_;
+    if (link.digestSent != generation_) {
+        beat.manifestDigest = manifestDigest_;
+        link.digestSent = generation_;
+    }
     beat.listVersion = peers_.list().version;
     beat.available = available_;
     const Vm *own = peers_.self();
@@ -371,10 +374,13 @@
 void Mesh::sendReport(const Report &report)
 {
     const std::lock_guard lock(mutex_);
-    const std::string bytes = encodeMessage(report);
     for (const std::string &relay : peers_.ownRelays()) {
         if (const auto id = linkTo(relay)) {
-            transport_.send(*id, bytes);
+            transport_.send(*id, encodeMessage(report));
+            return;
+        }
+        if (relay == settings_.self) {
+            return;
         }
     }
 }
@@ -449,6 +455,13 @@
     return std::find(relays.begin(), relays.end(), settings_.self) != relays.end();
 }
 
+bool Mesh::isFirstRelay() const
+{
+    const std::lock_guard lock(mutex_);
+    const auto relays = peers_.ownRelays();
+    return !relays.empty() && relays.front() == settings_.self;
+}
+
 bool Mesh::hearsRelay() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/libs/nodes/mesh.h
+++ b/src/libs/nodes/mesh.h
@@ -32,13 +32,14 @@
 struct MeshHandlers {
     /// A peer has a generation in force that is above ours.
     std::function<void(std::uint64_t generation, const std::string &manifestDigest)> generationSeen;
-    std::function<void(const Platform::VmList &)> listReceived;
+    std::function<void(const Platform::ListDelta &)> listReceived;
     std::function<void(const Report &)> reportReceived;
     /// Any valid message of a listed peer.
     std::function<void()> contact;
     /// Bytes of a part that this process holds.
     std::function<std::optional<std::string>(const std::string &digest)> part;
-    std::function<Platform::VmList()> list;
+    /// What leads from version @p known to the present list; the whole list if @p known is too old.
+    std::function<Platform::ListDelta(Platform::Version known)> listDelta;
 };
 
 /// Figures of the mesh for status and metrics.
@@ -54,11 +55,11 @@
 class Mesh
 {
 public:
-    static constexpr Base::MonotonicMs heartbeatMs = 2'000;
+    static constexpr Base::MonotonicMs heartbeatMs = 3'000;
     /// A peer that was silent for this long is suspected and its connection replaced.
-    static constexpr Base::MonotonicMs suspectAfterMs = 7'000;
+    static constexpr Base::MonotonicMs suspectAfterMs = 10'000;
     /// A newly listed VM has this long to connect before it counts as unavailable.
-    static constexpr Base::MonotonicMs joinGraceMs = 10'000;
+    static constexpr Base::MonotonicMs joinGraceMs = 12'000;
 
     Mesh(Transport &transport, const Base::Clock &clock, Base::HybridClock &hybridClock, Base::Timeline &timeline, MeshSettings settings);
 
@@ -68,7 +69,7 @@
     void setList(const Platform::VmList &list);
     /// State announced in heartbeats; a change is announced at once.
     void setState(std::uint64_t generation, const std::string &manifestDigest, bool available);
-    /// Sends a report to the relays of the own zone.
+    /// Sends a report to the first relay of the own zone.
     void sendReport(const Report &report);
     /// Asks peers that have at least @p generation for a part; blocks up to @p timeoutMs for each of them.
     [[nodiscard]] std::optional<std::string> fetchPart(const std::string &digest, std::uint64_t generation, Base::MonotonicMs timeoutMs);
@@ -76,6 +77,8 @@
     /// Entry VMs known to take no callers.
     [[nodiscard]] std::vector<std::string> unavailable() const;
     [[nodiscard]] bool isRelay() const;
+    /// True on the relay that collects its zone's reports.
+    [[nodiscard]] bool isFirstRelay() const;
     /// True while a relay of the own zone was heard lately.
     [[nodiscard]] bool hearsRelay() const;
     [[nodiscard]] std::size_t peersHeard() const;
@@ -94,6 +97,8 @@
         Base::MonotonicMs lastSent = 0;
         std::optional<Heartbeat> beat;
         std::uint64_t lastEventSent = 0;
+        /// Generation whose manifest digest this peer was told.
+        std::uint64_t digestSent = 0;
     };
     using Calls = std::vector<std::function<void()>>;
 
--- a/src/libs/nodes/message.cpp
+++ b/src/libs/nodes/message.cpp
@@ -1,7 +1,5 @@
 #include "message.h"
 
-#include <platform/vmlist.h>
-
 #include <nlohmann/json.hpp>
 
 namespace Wasabistair::Nodes {
@@ -56,19 +54,19 @@
         return {Tag::PartReply, reply.digest, reply.found, binary(reply.bytes)};
     }
 
-    Json operator()(const ListRequest &) const
+    Json operator()(const ListRequest &request) const
     {
-        return Json::array({Tag::ListRequest});
+        return {Tag::ListRequest, request.known};
     }
 
     Json operator()(const ListReply &reply) const
     {
-        return {Tag::ListReply, Platform::vmListToJson(reply.list)};
+        return {Tag::ListReply, Platform::deltaToJson(reply.delta)};
     }
 
     Json operator()(const Report &report) const
     {
-        return {Tag::Report, report.node, report.incarnation, report.body};
+        return {Tag::Report, report.node, report.incarnation, binary(report.body)};
     }
 
     Json operator()(const EventBatch &batch) const
@@ -105,13 +103,13 @@
     case Tag::PartReply:
         return PartReply{json.at(1).get<std::string>(), json.at(2).get<bool>(), fromBinary(json.at(3))};
     case Tag::ListRequest:
-        return ListRequest{};
+        return ListRequest{json.at(1).get<std::uint64_t>()};
     case Tag::ListReply: {
-        auto list = Platform::vmListFromJson(json.at(1));
-        return list ? std::optional<Message>(ListReply{std::move(*list)}) : std::nullopt;
+        auto delta = Platform::deltaFromJson(json.at(1));
+        return delta ? std::optional<Message>(ListReply{std::move(*delta)}) : std::nullopt;
     }
     case Tag::Report: {
-        Report report{json.at(1).get<std::string>(), json.at(2).get<std::uint64_t>(), json.at(3).get<std::string>()};
+        Report report{json.at(1).get<std::string>(), json.at(2).get<std::uint64_t>(), fromBinary(json.at(3))};
         return report.body.size() <= maxReportBytes ? std::optional<Message>(std::move(report)) : std::nullopt;
     }
     case Tag::EventBatch: {
--- a/src/libs/nodes/message.h
+++ b/src/libs/nodes/message.h
@@ -2,7 +2,7 @@
 
 #include <base/hybridclock.h>
 #include <base/timeline.h>
-#include <platform/objectstore.h>
+#include <platform/vmlist.h>
 
 #include <cstdint>
 #include <optional>
@@ -29,6 +29,7 @@
     std::uint64_t sequence = 0;
     Base::HybridTime time;
     std::uint64_t generation = 0;
+    /// Only in the first heartbeat of a generation on each connection.
     std::string manifestDigest;
     Platform::Version listVersion = 0;
     /// Whether the sender takes callers.
@@ -53,12 +54,15 @@
     bool operator==(const PartReply &) const = default;
 };
 
+/// Asks for the list; the answer leads from @c known to the sender's list where it still has that one.
 struct ListRequest {
+    Platform::Version known = Platform::noVersion;
+
     bool operator==(const ListRequest &) const = default;
 };
 
 struct ListReply {
-    Platform::VmList list;
+    Platform::ListDelta delta;
 
     bool operator==(const ListReply &) const = default;
 };
@@ -67,7 +71,7 @@
 struct Report {
     std::string node;
     std::uint64_t incarnation = 0;
-    /// JSON text; see docs/wire-formats.md.
+    /// Compressed JSON text; see docs/wire-formats.md.
     std::string body;
 
     bool operator==(const Report &) const = default;
--- a/src/libs/platform/httpobjectstore.cpp
+++ b/src/libs/platform/httpobjectstore.cpp
@@ -207,9 +207,13 @@
     return keys;
 }
 
-Base::Result<VmList> HttpObjectStore::vms()
+Base::Result<VmList> HttpObjectStore::vms(Version known)
 {
-    BOOST_LEAF_AUTO(answer, perform({CallKind::Vms, HTTPRequest::HTTP_GET, "/v1/vms", "vms", {}, {}, false, 0}));
+    const std::string query = known == noVersion ? "" : "?known=" + std::to_string(known);
+    BOOST_LEAF_AUTO(answer, perform({CallKind::Vms, HTTPRequest::HTTP_GET, "/v1/vms" + query, "vms", {}, {}, false, 0}));
+    if (answer.status == HTTPResponse::HTTP_NOT_MODIFIED) {
+        return VmList{known, {}};
+    }
     const Json json = Json::parse(answer.body, nullptr, false);
     auto list = vmListFromJson(json);
     if (!list) {
--- a/src/libs/platform/httpobjectstore.h
+++ b/src/libs/platform/httpobjectstore.h
@@ -33,7 +33,7 @@
     [[nodiscard]] Base::Result<Version> remove(const std::string &key, Version expected) override;
     [[nodiscard]] Base::Result<VersionedValue> watch(const std::string &key, Version known, int timeoutMs) override;
     [[nodiscard]] Base::Result<std::vector<std::string>> list(const std::string &prefix) override;
-    [[nodiscard]] Base::Result<VmList> vms() override;
+    [[nodiscard]] Base::Result<VmList> vms(Version known = noVersion) override;
 
     /// Calls made so far, a waiting watch as one.
     [[nodiscard]] std::uint64_t calls(CallKind kind) const;
--- a/src/libs/platform/objectstore.h
+++ b/src/libs/platform/objectstore.h
@@ -73,7 +73,8 @@
     [[nodiscard]] virtual Base::Result<VersionedValue> watch(const std::string &key, Version known, int timeoutMs) = 0;
     /// Keys that begin with @p prefix, ordered.
     [[nodiscard]] virtual Base::Result<std::vector<std::string>> list(const std::string &prefix) = 0;
-    [[nodiscard]] virtual Base::Result<VmList> vms() = 0;
+    /// The list, or an empty one of version @p known if it has not changed since.
+    [[nodiscard]] virtual Base::Result<VmList> vms(Version known = noVersion) = 0;
 };
 
 /// Runs one call of the store and keeps its failure.
--- a/src/libs/platform/vmlist.cpp
+++ b/src/libs/platform/vmlist.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <map>
+
 namespace Wasabistair::Platform {
 
 namespace {
@@ -34,31 +37,106 @@
     return vm;
 }
 
+Json vmsToJson(const std::vector<Vm> &vms)
+{
+    Json array = Json::array();
+    for (const Vm &vm : vms) {
+        array.push_back(vmToJson(vm));
+    }
+    return array;
+}
+
+std::vector<Vm> vmsFromJson(const Json &array)
+{
+    std::vector<Vm> vms;
+    for (const Json &vm : array) {
+        vms.push_back(vmFromJson(vm));
+    }
+    return vms;
+}
+
+std::map<std::string, Vm> byId(const std::vector<Vm> &vms)
+{
+    std::map<std::string, Vm> result;
+    for (const Vm &vm : vms) {
+        result[vm.id] = vm;
+    }
+    return result;
+}
+
 } // namespace
 
 Json vmListToJson(const VmList &list)
 {
-    Json vms = Json::array();
-    for (const Vm &vm : list.vms) {
-        vms.push_back(vmToJson(vm));
-    }
-    return {{"version", list.version}, {"vms", std::move(vms)}};
+    return {{"version", list.version}, {"vms", vmsToJson(list.vms)}};
 }
 
 std::optional<VmList> vmListFromJson(const Json &json)
 {
     try {
-        VmList list;
-        list.version = json.at("version").get<Version>();
-        for (const Json &vm : json.at("vms")) {
-            list.vms.push_back(vmFromJson(vm));
-        }
+        VmList list{json.at("version").get<Version>(), vmsFromJson(json.at("vms"))};
+        std::sort(list.vms.begin(), list.vms.end());
         return list;
     } catch (const Json::exception &) {
         return std::nullopt;
     }
 }
 
+ListDelta deltaBetween(const VmList &from, const VmList &to)
+{
+    ListDelta delta{from.version, to.version, {}, {}};
+    const auto before = byId(from.vms);
+    const auto after = byId(to.vms);
+    for (const auto &[id, vm] : after) {
+        const auto found = before.find(id);
+        if (found == before.end() || found->second != vm) {
+            delta.changed.push_back(vm);
+        }
+    }
+    for (const auto &[id, vm] : before) {
+        if (!after.contains(id)) {
+            delta.removed.push_back(id);
+        }
+    }
+    return delta;
+}
+
+std::optional<VmList> applyDelta(const VmList &list, const ListDelta &delta)
+{
+    if (delta.from != noVersion && delta.from != list.version) {
+        return std::nullopt;
+    }
+    std::map<std::string, Vm> vms = delta.from == noVersion ? std::map<std::string, Vm>() : byId(list.vms);
+    for (const std::string &id : delta.removed) {
+        vms.erase(id);
+    }
+    for (const Vm &vm : delta.changed) {
+        vms[vm.id] = vm;
+    }
+    VmList result{delta.to, {}};
+    for (const auto &[id, vm] : vms) {
+        result.vms.push_back(vm);
+    }
+    return result;
+}
+
+Json deltaToJson(const ListDelta &delta)
+{
+    return {{"from", delta.from}, {"to", delta.to}, {"changed", vmsToJson(delta.changed)}, {"removed", delta.removed}};
+}
+
+std::optional<ListDelta> deltaFromJson(const Json &json)
+{
+    try {
+        return ListDelta{json.at("from").get<Version>(),
+                         json.at("to").get<Version>(),
+                         vmsFromJson(json.at("changed")),
+                         json.at("removed").get<std::vector<std::string>>()};
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
 const Vm *findVm(const VmList &list, const std::string &id)
 {
     for (const Vm &vm : list.vms) {
