Let news of unavailable VMs die when it is no longer true

A relay told its zone, the zone's VMs told the relay, and each believed the other for good; at 12 VMs all have direct links, which win. Look-ups would have left such VMs out for ever. Ruled out: events, lists of VMs and reports (none due in the window). Change: relays are believed on their own zone by other zones' relays, and on everything by their own zone's ordinary VMs; only relays tell. No news can travel back.

Also: calls of VMs that their relays serve, and checks of slots, grow no longer with the fleet; slot claims are spread at random.

--- a/src/app/configurationfeed.cpp
+++ b/src/app/configurationfeed.cpp
@@ -103,7 +103,7 @@
             offer({head->current().generation, head->current().manifestDigest});
         }
     }
-    return direct ? 0 : jittered(servedIntervalMs);
+    return direct ? 0 : jittered(scaledByFleet(servedIntervalMs));
 }
 
 std::int64_t ConfigurationFeed::listStep()
@@ -117,7 +117,7 @@
     }
     notePlatform(true);
     takeList(*listed.value);
-    return direct ? jittered(listIntervalMs) : jittered(servedIntervalMs);
+    return jittered(direct ? listIntervalMs : scaledByFleet(servedIntervalMs));
 }
 
 void ConfigurationFeed::listSeen(const Platform::ListDelta &delta)
@@ -158,6 +158,14 @@
     return list_;
 }
 
+std::int64_t ConfigurationFeed::scaledByFleet(std::int64_t milliseconds) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto isEntry = [](const Steering::Vm &vm) { return vm.kind == Steering::VmKind::Entry; };
+    const std::int64_t count = std::count_if(list_.vms.begin(), list_.vms.end(), isEntry);
+    return std::max(milliseconds, milliseconds * count / fleetUnit);
+}
+
 bool ConfigurationFeed::platformReachable() const
 {
     return platformReachable_;
--- a/src/app/configurationfeed.h
+++ b/src/app/configurationfeed.h
@@ -30,8 +30,10 @@
 public:
     static constexpr int watchMs = 10'000;
     static constexpr std::int64_t listIntervalMs = 1'500;
-    /// Interval of a VM that is served by its relays.
+    /// Interval of a VM that is served by its relays, in fleets of up to fleetUnit entry VMs; longer in
+    /// larger ones, so that the platform's load does not grow with them.
     static constexpr std::int64_t servedIntervalMs = 30'000;
+    static constexpr std::int64_t fleetUnit = 50;
     static constexpr std::size_t maxEarlierLists = 16;
     static constexpr std::int64_t firstBackoffMs = 250;
     static constexpr std::int64_t maxBackoffMs = 4'000;
@@ -50,6 +52,8 @@
     /// For peers whose list is older; see MeshHandlers::listDelta.
     [[nodiscard]] Platform::ListDelta listDelta(Platform::Version known) const;
     [[nodiscard]] Platform::VmList list() const;
+    /// @p milliseconds, lengthened in proportion to the fleet beyond fleetUnit entry VMs.
+    [[nodiscard]] std::int64_t scaledByFleet(std::int64_t milliseconds) const;
     [[nodiscard]] bool platformReachable() const;
 
 private:
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -16,6 +16,7 @@
 #include <platform/slotclaim.h>
 #include <platform/vmlist.h>
 #include <steering/decision.h>
+#include <steering/hash.h>
 #include <upstreams/connectionpool.h>
 #include <upstreams/prober.h>
 
@@ -37,7 +38,9 @@
 constexpr std::int64_t tickMs = 100;
 constexpr std::int64_t ticksPerSample = 10;
 constexpr std::int64_t probeIntervalMs = 500;
-constexpr std::int64_t slotRetryMs = 500;
+constexpr std::int64_t slotCheckMs = 250;
+/// Added to slotCheckMs at random, so that VMs of a zone that return together rarely collide.
+constexpr std::uint64_t slotJitterMs = 750;
 constexpr std::int64_t slotVerifyMs = 60'000;
 constexpr std::int64_t stopCheckMs = 50;
 constexpr std::int64_t msPerSecond = 1'000;
@@ -151,11 +154,17 @@
         }
     }
 
+    std::int64_t slotPauseMs()
+    {
+        const std::uint64_t spread = Steering::hashOf(settings_.vm, ++slotChecks_) % slotJitterMs;
+        return slotCheckMs + static_cast<std::int64_t>(spread);
+    }
+
     std::int64_t refreshSlot()
     {
         const auto configuration = generations_.configuration();
         if (engine_.isDraining() || configuration->objects.fleets.empty()) {
-            return slotRetryMs;
+            return slotPauseMs();
         }
         std::int64_t vmSlots = 0;
         for (const Steering::FleetRegion &region : configuration->objects.fleets.front().regions) {
@@ -163,12 +172,12 @@
                 vmSlots = region.vmSlots;
             }
         }
-        const bool due = !slot_.usable() || clock_.monotonic() - slotVerified_ >= slotVerifyMs;
+        const bool due = !slot_.usable() || clock_.monotonic() - slotVerified_ >= feed_.scaledByFleet(slotVerifyMs);
         if (due && slot_.refresh(feed_.list(), vmSlots)) {
             slotVerified_ = clock_.monotonic();
             engine_.rebuild();
         }
-        return slotRetryMs;
+        return slotPauseMs();
     }
 
     std::int64_t probe()
@@ -305,6 +314,7 @@
     std::atomic<std::uint64_t> probes_{0};
     std::int64_t ticks_ = 0;
     Base::MonotonicMs slotVerified_ = 0;
+    std::uint64_t slotChecks_ = 0;
     bool ready_ = false;
     bool hadSlot_ = false;
 };
--- a/src/libs/nodes/mesh.cpp
+++ b/src/libs/nodes/mesh.cpp
@@ -335,7 +335,7 @@
     beat.listVersion = peers_.list().version;
     beat.available = available_;
     const Vm *own = peers_.self();
-    if (own) {
+    if (own && peers_.isOwnRelay(own->id)) {
         const bool sameZone = peers_.zoneOf(link.node) == own->zone;
         for (const std::string &node : unavailableLocked()) {
             if (beat.unavailable.size() < maxUnavailable && (sameZone || peers_.zoneOf(node) == own->zone)) {
@@ -418,7 +418,11 @@
         if (!link.greeted || !link.beat) {
             continue;
         }
-        result.insert(link.beat->unavailable.begin(), link.beat->unavailable.end());
+        for (const std::string &node : link.beat->unavailable) {
+            if (peers_.mayTell(link.node, node)) {
+                result.insert(node);
+            }
+        }
         if (link.beat->available) {
             heardAvailable.insert(link.node);
         } else {
--- a/src/libs/nodes/peertable.cpp
+++ b/src/libs/nodes/peertable.cpp
@@ -103,6 +103,24 @@
     return own ? relaysOf(list_.vms, own->zone, {}) : std::vector<std::string>();
 }
 
+bool PeerTable::isOwnRelay(const std::string &node) const
+{
+    const auto relays = ownRelays();
+    return std::find(relays.begin(), relays.end(), node) != relays.end();
+}
+
+bool PeerTable::mayTell(const std::string &teller, const std::string &node) const
+{
+    const Vm *own = self();
+    if (!own) {
+        return false;
+    }
+    if (isOwnRelay(own->id)) {
+        return zoneOf(teller) != own->zone && zoneOf(teller) == zoneOf(node);
+    }
+    return isOwnRelay(teller);
+}
+
 std::vector<std::string> PeerTable::zoneMembersListedFor(Base::MonotonicMs milliseconds, Base::MonotonicMs now) const
 {
     const Vm *own = self();
--- a/src/libs/nodes/peertable.h
+++ b/src/libs/nodes/peertable.h
@@ -41,6 +41,11 @@
     [[nodiscard]] std::vector<std::string> ownRelays() const;
     /// As ownRelays(), suspected ones included.
     [[nodiscard]] std::vector<std::string> ownRelaysByList() const;
+    [[nodiscard]] bool isOwnRelay(const std::string &node) const;
+    /// Whether @p teller is believed when it says that @p node is unavailable. A relay believes relays of
+    /// another zone on that zone's VMs only, and an ordinary VM its own relays on all: news travels away
+    /// from those who see it themselves, so that none can come back and keep itself alive.
+    [[nodiscard]] bool mayTell(const std::string &teller, const std::string &node) const;
     /// VMs of the own zone that have been listed for at least @p milliseconds.
     [[nodiscard]] std::vector<std::string> zoneMembersListedFor(Base::MonotonicMs milliseconds, Base::MonotonicMs now) const;
 
--- a/tests/standins/fakeplatform.h
+++ b/tests/standins/fakeplatform.h
@@ -12,6 +12,10 @@
 #include <string>
 #include <vector>
 
+namespace Poco {
+class ThreadPool;
+}
+
 namespace Poco::Net {
 class HTTPServer;
 class HTTPServerRequest;
@@ -67,6 +71,7 @@
     void handleList(const std::string &query, Poco::Net::HTTPServerResponse &response);
     void handleVms(const std::string &query, Poco::Net::HTTPServerResponse &response);
     void count(const std::string &kind);
+    [[nodiscard]] bool isStopping() const;
     [[nodiscard]] Platform::VersionedValue awaitChange(const std::string &key, Platform::Version known, int timeoutMs);
 
     mutable std::mutex mutex_;
@@ -77,6 +82,8 @@
     std::vector<ListVersion> lists_;
     Platform::Version nextVersion_ = 1;
     bool stopping_ = false;
+    // Of its own, so that no handler is left when the stand-in goes.
+    std::unique_ptr<Poco::ThreadPool> threads_;
     std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
 
--- a/tests/standins/fakeupstream.h
+++ b/tests/standins/fakeupstream.h
@@ -11,6 +11,10 @@
 #include <string>
 #include <vector>
 
+namespace Poco {
+class ThreadPool;
+}
+
 namespace Poco::Net {
 class HTTPServer;
 class HTTPServerRequest;
@@ -99,6 +103,8 @@
     int queued_ = 0;
     UpstreamStatistics statistics_;
     std::vector<RunRecord> record_;
+    // Of its own, so that no handler is left when the stand-in goes.
+    std::unique_ptr<Poco::ThreadPool> threads_;
     std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
 
