--- a/src/libs/platform/vmlist.cpp
+++ b/src/libs/platform/vmlist.cpp
@@ -128,10 +128,8 @@
 std::optional<ListDelta> deltaFromJson(const Json &json)
 {
     try {
-        return ListDelta{json.at("from").get<Version>(),
-                         json.at("to").get<Version>(),
-                         vmsFromJson(json.at("changed")),
-                         json.at("removed").get<std::vector<std::string>>()};
+        return ListDelta{
+            json.at("from").get<Version>(), json.at("to").get<Version>(), vmsFromJson(json.at("changed")), json.at("removed").get<std::vector<std::string>>()};
     } catch (const Json::exception &) {
         return std::nullopt;
     }
--- a/tests/benchmarks/bench_blocks.cpp
+++ b/tests/benchmarks/bench_blocks.cpp
@@ -44,7 +44,7 @@
     constexpr int changes = 5;
     std::size_t moved = 0;
     for (int i = 0; i < changes; ++i) {
-        objects.clientBlocks[static_cast<std::size_t>(i) * 1'000].site = "site-150";
+        objects.clientBlocks[static_cast<std::size_t>(i) * count / changes].site = "site-150";
         const Platform::Content next = Platform::encodeContent(objects);
         moved = next.manifest.size();
         for (const auto &[digest, bytes] : next.parts) {
--- a/tests/benchmarks/bench_fleet.cpp
+++ b/tests/benchmarks/bench_fleet.cpp
@@ -24,7 +24,8 @@
 
 namespace {
 
-constexpr int quietMs = 20'000;
+/// One report interval, so that each VM's report falls into it once.
+constexpr int quietMs = 30'000;
 
 std::string fetch(const Base::HostPort &address, const std::string &path)
 {
@@ -133,7 +134,7 @@
     return worst;
 }
 
-void measure(int vmsPerRegion)
+void measure(int vmsPerRegion, bool inForce)
 {
     FleetPlan plan;
     plan.entryVmsPerRegion = vmsPerRegion;
@@ -184,7 +185,11 @@
         const auto found = callsBefore.find(kind);
         std::printf(" %s %.2f", kind.c_str(), static_cast<double>(calls - (found == callsBefore.end() ? 0 : found->second)) * 1'000 / quietMs);
     }
-    std::printf("\n%zu processes: in force at the worst VM, ms: calm", count);
+    std::printf("\n");
+    if (!inForce) {
+        return;
+    }
+    std::printf("%zu processes: in force at the worst VM, ms: calm", count);
     for (int i = 0; i < 3; ++i) {
         std::printf(" %lld", static_cast<long long>(publishAndMeasure(fleet, objects, false)));
     }
@@ -225,15 +230,17 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
+    // "calm" as the first argument leaves publications and outages out.
+    const bool calmOnly = argc > 1 && std::string(argv[1]) == "calm";
     std::vector<int> sizes;
-    for (int i = 1; i < argc; ++i) {
+    for (int i = calmOnly ? 2 : 1; i < argc; ++i) {
         sizes.push_back(std::atoi(argv[i]));
     }
     if (sizes.empty()) {
         sizes = {2, 4, 8, 17, 33, 50};
     }
     for (const int size : sizes) {
-        measure(size);
+        measure(size, !calmOnly);
     }
     return 0;
 }
