Use PeerTable's own answer for being a relay, drop an unused macro

Reading as a newcomer: Mesh::isRelay repeated PeerTable::isOwnRelay, and ASIO_STANDALONE_DISABLED means nothing to any library.

--- a/src/libs/nodes/mesh.cpp
+++ b/src/libs/nodes/mesh.cpp
@@ -455,8 +455,7 @@
 bool Mesh::isRelay() const
 {
     const std::lock_guard lock(mutex_);
-    const auto relays = peers_.ownRelays();
-    return std::find(relays.begin(), relays.end(), settings_.self) != relays.end();
+    return peers_.isOwnRelay(settings_.self);
 }
 
 bool Mesh::isFirstRelay() const
--- a/src/libs/nodes/websockettransport.cpp
+++ b/src/libs/nodes/websockettransport.cpp
@@ -1,6 +1,5 @@
 #include "websockettransport.h"
 
-#define ASIO_STANDALONE_DISABLED
 #include <boost/asio/executor_work_guard.hpp>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
