--- a/tests/auto/faults/tst_headroom.cpp
+++ b/tests/auto/faults/tst_headroom.cpp
@@ -55,8 +55,9 @@
     /// slots and its declared queue.
     void checkNoServerOverloaded()
     {
-        for (const auto &upstream : fleet.upstreams()) {
-            const UpstreamStatistics seen = upstream->statistics();
+        for (std::size_t i = 0; i < fleet.upstreams().size(); ++i) {
+            const UpstreamStatistics seen = fleet.upstreams()[i]->statistics();
+            INFO("server " << i);
             CHECK(seen.shed == 0);
             CHECK(seen.peakRunning <= 4);
             CHECK(seen.peakQueued <= 4);
