Let the stand-in leave its slot before the answer's last byte

Cause: the stand-in upstream counted a slot as taken until after it had flushed the answer. The entry VM reads the last byte, frees the unit and sends the next request; when the handler's thread is preempted between flush and leaveSlot, the next request finds the slot taken. Shown by printing, at each shed, what every request inside was doing: in all 7 sheds of 6 runs (three at once, to load the machine), exactly one of the 8 requests inside was past its answer's write. Ruled out by the same print: abandoned requests of the silenced servers (none inside was closed), more units handed out than declared (8 inside besides the newcomer, one of them answered), the paused and the replaced VM (sheds at servers of all regions).

Now the slot is left right before the last byte (or before the connection's end, for the faults that end it).

--- a/tests/standins/fakeupstream.cpp
+++ b/tests/standins/fakeupstream.cpp
@@ -19,6 +19,7 @@
 #include <chrono>
 #include <iterator>
 #include <thread>
+#include <utility>
 
 namespace Wasabistair::StandIns {
 
@@ -86,6 +87,32 @@
 
 } // namespace
 
+/// The slot of one request, left once: by hand before the answer's last byte, else at the end of the scope.
+class FakeUpstream::SlotHold
+{
+public:
+    explicit SlotHold(FakeUpstream &upstream)
+        : upstream_(upstream)
+    {}
+    ~SlotHold()
+    {
+        leave();
+    }
+    SlotHold(const SlotHold &) = delete;
+    SlotHold &operator=(const SlotHold &) = delete;
+
+    void leave()
+    {
+        if (!std::exchange(left_, true)) {
+            upstream_.leaveSlot();
+        }
+    }
+
+private:
+    FakeUpstream &upstream_;
+    bool left_ = false;
+};
+
 FakeUpstream::FakeUpstream(UpstreamSettings settings)
     : settings_(std::move(settings))
     , started_(Base::SystemClock().monotonic())
@@ -235,19 +262,19 @@
         refuse(response);
         return;
     }
+    SlotHold slot(*this);
     if (isClosed(request)) {
         // Cancelled while it was queued.
-        leaveSlot();
         return;
     }
-    run(request, response, body);
-    leaveSlot();
+    run(request, response, body, slot);
 }
 
-void FakeUpstream::run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body)
+void FakeUpstream::run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body, SlotHold &slot)
 {
     const std::string fault = request.get("X-Fault", "");
     if (fault == "reset-before-answer") {
+        slot.leave();
         socketOf(request).shutdown();
         return;
     }
@@ -270,13 +297,14 @@
         return;
     }
     if (fault == "reset-after-run") {
+        slot.leave();
         socketOf(request).shutdown();
         return;
     }
     while (fault == "silent" && !isClosed(request)) {
         Poco::Thread::sleep(silentStepMs);
     }
-    answer(request, response, body);
+    answer(request, response, body, slot);
 }
 
 bool FakeUpstream::occupy(Poco::Net::HTTPServerRequest &request, double milliseconds)
@@ -297,7 +325,7 @@
     }
 }
 
-void FakeUpstream::answer(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body)
+void FakeUpstream::answer(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body, SlotHold &slot)
 {
     const std::string fault = request.get("X-Fault", "");
     addState(response);
@@ -315,10 +343,14 @@
     std::ostream &out = response.send();
     if (fault == "cut-body" || fault == "cut-chunked") {
         out << content.substr(0, content.size() / 2) << std::flush;
+        slot.leave();
         socketOf(request).shutdown();
         return;
     }
-    out << content << std::flush;
+    out.write(content.data(), static_cast<std::streamsize>(content.size() - 1));
+    // Whoever has read the last byte may send the next request at once and must find the slot free.
+    slot.leave();
+    out << content.back() << std::flush;
 }
 
 } // namespace Wasabistair::StandIns
--- a/tests/standins/fakeupstream.h
+++ b/tests/standins/fakeupstream.h
@@ -82,14 +82,16 @@
     void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
 
 private:
+    class SlotHold;
+
     bool enterSlot(std::int64_t deadlineMs);
     void leaveSlot();
     [[nodiscard]] int usableSlots() const;
-    void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
+    void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body, SlotHold &slot);
     [[nodiscard]] bool occupy(Poco::Net::HTTPServerRequest &request, double milliseconds);
     void refuse(Poco::Net::HTTPServerResponse &response);
     void addState(Poco::Net::HTTPServerResponse &response) const;
-    void answer(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body);
+    void answer(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body, SlotHold &slot);
 
     const UpstreamSettings settings_;
     const std::int64_t started_;
