Keep the unit of a request given up until the server can have ended it

Cause: when a caller hung up, a deadline passed or a connection went silent, the entry VM closed the connection and freed the unit at once. The server notices a cancellation only after a while and until then has one request more than all VMs count, so "no decision overloads" broke under callers that hang up.

New test, processes: servers that notice a cancellation after 250 ms, 50 callers that hang up after 70 ms, 50 that don't. Price: an idle unit for cancelMs after each request given up.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -117,6 +117,7 @@
         slot_.setRivals(rivals());
         mesh_.tick();
         engine_.setUnavailable(mesh_.unavailable());
+        engine_.releaseDue();
         engine_.rebuild();
         noteReadiness();
         const Nodes::GenerationId current = generations_.current();
--- a/src/app/engine.cpp
+++ b/src/app/engine.cpp
@@ -202,6 +202,7 @@
     queue.waiting.fetch_add(1, std::memory_order_relaxed);
     std::variant<Route, Refusal> result = Refusal::NoHeadroom;
     while (true) {
+        releaseDue();
         result = tryAcquire(service, excludedServers);
         const auto *refusal = std::get_if<Refusal>(&result);
         const Base::MonotonicMs left = end - clock_.monotonic();
@@ -237,6 +238,18 @@
     }
 }
 
+void Engine::releaseAfter(const Route &route, Steering::MonotonicMs holdMs)
+{
+    delayed_.add(route, clock_.monotonic() + holdMs);
+}
+
+void Engine::releaseDue()
+{
+    for (const Route &route : delayed_.takeDue(clock_.monotonic())) {
+        release(route);
+    }
+}
+
 void Engine::record(const std::string &service, const std::string &place, Callers::RequestOutcome outcome, std::int64_t latencyUs)
 {
     recorder_.record(service, place, outcome, latencyUs);
--- a/src/app/engine.h
+++ b/src/app/engine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "delayedreleases.h"
 #include "recorder.h"
 
 #include <base/clock.h>
@@ -44,6 +45,9 @@
         const std::string &service, const std::vector<std::string> &excludedServers, Steering::MonotonicMs waitMs) override;
     [[nodiscard]] bool mayStillSend(const Callers::Route &route) const override;
     void release(const Callers::Route &route) override;
+    void releaseAfter(const Callers::Route &route, Steering::MonotonicMs holdMs) override;
+    /// Frees the units whose hold is over. Call several times a second.
+    void releaseDue();
     [[nodiscard]] std::int64_t maxStreams(const std::string &service) const override;
     void record(const std::string &service, const std::string &place, Callers::RequestOutcome outcome, std::int64_t latencyUs) override;
     [[nodiscard]] bool isDraining() const override;
@@ -76,6 +80,8 @@
     std::mutex queuesMutex_;
     std::map<std::string, std::unique_ptr<Queue>> queues_;
 
+    DelayedReleases delayed_;
+
     Base::RcuPointer<Steering::RoutingTable> table_;
 };
 
--- a/src/libs/callers/forwarder.cpp
+++ b/src/libs/callers/forwarder.cpp
@@ -39,7 +39,7 @@
     return usable ? std::min(value, service.deadlineMs) : service.deadlineMs;
 }
 
-/// Gives an occupied unit back, whatever happens.
+/// Gives an occupied unit back, whatever happens: at once, or later if the server may still be at work.
 class RouteHold
 {
 public:
@@ -49,14 +49,24 @@
     {}
     ~RouteHold()
     {
-        router_.release(route_);
+        if (holdMs_ > 0) {
+            router_.releaseAfter(route_, holdMs_);
+        } else {
+            router_.release(route_);
+        }
     }
     RouteHold(const RouteHold &) = delete;
     RouteHold &operator=(const RouteHold &) = delete;
 
+    void setHoldMs(std::int64_t holdMs)
+    {
+        holdMs_ = holdMs;
+    }
+
 private:
     Router &router_;
     const Route &route_;
+    std::int64_t holdMs_ = 0;
 };
 
 /// Gives a connection back to its pool; closed unless marked reusable.
@@ -179,8 +189,8 @@
             return true;
         }
         const Route route = std::get<Route>(std::move(acquired));
-        const RouteHold hold(router_, route);
-        return tryRoute(route, body, attempt);
+        RouteHold hold(router_, route);
+        return tryRoute(route, hold, body, attempt);
     }
 
     void refuseWithoutRoute(Steering::Refusal refusal)
@@ -202,7 +212,7 @@
         }
     }
 
-    bool tryRoute(const Route &route, BufferedBody &body, std::int64_t attempt)
+    bool tryRoute(const Route &route, RouteHold &unit, BufferedBody &body, std::int64_t attempt)
     {
         place_ = route.place;
         const bool mayReuse = idempotent_ && !silenceSeen_;
@@ -230,6 +240,10 @@
         Exchange exchange(hold.session(), clock_, {deadline_, service_.progressTimeoutMs, firstByteMs}, hooks(route));
         const TryResult result = exchange.run(outgoing(), body);
         const bool answered = handle(result, exchange, route, body, attempt);
+        if (!exchange.isOver()) {
+            // A closed connection cancels the request, but the server needs time to notice.
+            unit.setHoldMs(service_.cancelMs);
+        }
         hold.setReusable((result == TryResult::Answered || result == TryResult::Refused) && exchange.isReusable());
         return answered;
     }
--- a/src/libs/callers/router.h
+++ b/src/libs/callers/router.h
@@ -51,6 +51,8 @@
     /// Immediately before sending: true while the decision still stands (slot held, server not stopped).
     [[nodiscard]] virtual bool mayStillSend(const Route &route) const = 0;
     virtual void release(const Route &route) = 0;
+    /// As release(), but after @p holdMs: for a request that was given up and may still occupy the server.
+    virtual void releaseAfter(const Route &route, Steering::MonotonicMs holdMs) = 0;
     /// Largest number of requests of a service whose bodies may be streamed at once. Such a request
     /// holds its unit for as long as its caller sends, so others must keep some.
     [[nodiscard]] virtual std::int64_t maxStreams(const std::string &service) const = 0;
--- a/src/libs/steering/schema.cpp
+++ b/src/libs/steering/schema.cpp
@@ -75,7 +75,9 @@
             integer("maxAttempts", 1, 5, 3, "tries", "Tries of an idempotent request, the first included."),
             integer("retryPercent", 0, 100, 10, "%", "Retries as a share of first tries."),
             integer("maxBodyBytes", 0, maxBody, 64 << 20, "bytes", "Largest request body."),
-            integer("lookupMaxAgeSeconds", 1, 300, 5, "s", "How long callers may keep a look-up answer.")}};
+            integer("lookupMaxAgeSeconds", 1, 300, 5, "s", "How long callers may keep a look-up answer."),
+            integer("cancelMs", 0, maxDeadlineMs, 500, "ms",
+                "Longest time in which an upstream ends a request whose connection was closed; its slot counts as taken until then.")}};
 }
 
 KindSpec placeKind()
--- a/src/libs/upstreams/exchange.cpp
+++ b/src/libs/upstreams/exchange.cpp
@@ -179,9 +179,14 @@
     return refused ? TryResult::Refused : TryResult::Answered;
 }
 
+bool Exchange::isOver() const
+{
+    return bodySent_ && answerBody_ && answerBody_->state() == Http::BodyState::Complete;
+}
+
 bool Exchange::isReusable() const
 {
-    return bodySent_ && answerBody_ && answerBody_->state() == Http::BodyState::Complete && response_.getKeepAlive() && session_.unreadBytes() == 0;
+    return isOver() && response_.getKeepAlive() && session_.unreadBytes() == 0;
 }
 
 bool Exchange::announcesLeaving() const
--- a/src/libs/upstreams/exchange.h
+++ b/src/libs/upstreams/exchange.h
@@ -75,6 +75,8 @@
     [[nodiscard]] const Poco::Net::HTTPResponse &response() const;
     /// Body of the answer; only after Answered or Refused.
     [[nodiscard]] Http::BodyReader &answerBody();
+    /// True when the request was sent whole and its answer read to its end: the server is done with it.
+    [[nodiscard]] bool isOver() const;
     /// True when the connection may serve another request: everything sent, the answer read to its end.
     [[nodiscard]] bool isReusable() const;
     /// The server announced in its answer that it is leaving.
--- a/tests/auto/faults/tst_headroom.cpp
+++ b/tests/auto/faults/tst_headroom.cpp
@@ -125,6 +125,26 @@
     CHECK(fleet.awaitReady(1));
 }
 
+TEST_CASE_FIXTURE(HeadroomFixture, "callersThatHangUp_underOverload_noServerExceedsSlotsAndQueue")
+{
+    // The servers notice a cancellation only after a while; the service declares 500 ms for it.
+    for (const auto &upstream : fleet.upstreams()) {
+        upstream->setServiceMs(150);
+        upstream->setCancelNoticeMs(250);
+    }
+    start();
+    LoadPlan hasty = overload(5'000, 50);
+    hasty.timeoutMs = 70;
+    hasty.idPrefix = "hasty";
+    std::vector<CallerRecord> cancelled;
+    std::thread callers([&] { cancelled = runLoad(hasty); });
+    const std::vector<CallerRecord> records = runLoad(overload(5'000, 50));
+    callers.join();
+    checkNoServerOverloaded();
+    CHECK(countResults(cancelled)["unknown"] > 100);
+    CHECK(countResults(records)["answered"] > 100);
+}
+
 TEST_CASE_FIXTURE(HeadroomFixture, "shareShift_underLoad_staysBelowItsCapInTheUpstreamsRecord")
 {
     objects.shifts = {{"to-munster", "order-ledger", "order-ledger-leinster", "order-ledger-munster", 150, 0, 0, 0, Steering::noEnd, true}};
--- a/tests/standins/fakeupstream.cpp
+++ b/tests/standins/fakeupstream.cpp
@@ -29,7 +29,6 @@
 
 constexpr int maxThreads = 450;
 constexpr int backlog = 512;
-constexpr int cancelCheckMs = 5;
 constexpr int silentStepMs = 50;
 
 class Handler: public Poco::Net::HTTPRequestHandler
@@ -163,6 +162,11 @@
     serviceMs_ = milliseconds;
 }
 
+void FakeUpstream::setCancelNoticeMs(int milliseconds)
+{
+    cancelNoticeMs_ = milliseconds;
+}
+
 std::vector<RunRecord> FakeUpstream::record() const
 {
     const std::lock_guard lock(mutex_);
@@ -185,26 +189,42 @@
     return std::clamp(warm, 1, settings_.slots);
 }
 
-bool FakeUpstream::enterSlot(std::int64_t deadlineMs)
+bool FakeUpstream::awaitSlot(std::unique_lock<std::mutex> &lock, Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(deadlineMs);
+    while (std::chrono::steady_clock::now() < end) {
+        const auto slice = std::min(end, std::chrono::steady_clock::now() + std::chrono::milliseconds(cancelNoticeMs_));
+        if (slotFreed_.wait_until(lock, slice, [this] { return running_ < usableSlots(); })) {
+            return true;
+        }
+        if (isClosed(request)) {
+            return false;
+        }
+    }
+    return false;
+}
+
+FakeUpstream::Entry FakeUpstream::enterSlot(Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs)
 {
     std::unique_lock lock(mutex_);
     if (running_ >= usableSlots()) {
         if (queued_ >= settings_.queue) {
             ++statistics_.shed;
-            return false;
+            return Entry::Shed;
         }
         ++queued_;
         statistics_.peakQueued = std::max(statistics_.peakQueued, queued_);
-        const bool entered = slotFreed_.wait_for(lock, std::chrono::milliseconds(deadlineMs), [this] { return running_ < usableSlots(); });
+        const bool entered = awaitSlot(lock, request, deadlineMs);
         --queued_;
         if (!entered) {
-            ++statistics_.shed;
-            return false;
+            const bool cancelled = isClosed(request);
+            statistics_.shed += cancelled ? 0 : 1;
+            return cancelled ? Entry::Cancelled : Entry::Shed;
         }
     }
     ++running_;
     statistics_.peakRunning = std::max(statistics_.peakRunning, running_);
-    return true;
+    return Entry::Entered;
 }
 
 void FakeUpstream::leaveSlot()
@@ -258,8 +278,11 @@
     }
     const std::string fault = request.get("X-Fault", "");
     const std::int64_t deadline = std::stoll(request.get("Wasabistair-Deadline-Ms", "10000"));
-    if (fault == "shed" || !enterSlot(deadline)) {
+    const Entry entry = fault == "shed" ? Entry::Shed : enterSlot(request, deadline);
+    if (entry == Entry::Shed) {
         refuse(response);
+    }
+    if (entry != Entry::Entered) {
         return;
     }
     SlotHold slot(*this);
@@ -317,7 +340,7 @@
         if (left.count() <= 0) {
             return true;
         }
-        const auto slice = std::min<Duration>(left, std::chrono::milliseconds(cancelCheckMs));
+        const auto slice = std::min<Duration>(left, std::chrono::milliseconds(cancelNoticeMs_));
         std::this_thread::sleep_for(slice);
         if (isClosed(request)) {
             return false;
--- a/tests/standins/fakeupstream.h
+++ b/tests/standins/fakeupstream.h
@@ -76,6 +76,8 @@
     /// Every connection stays open and nothing is answered.
     void setSilent(bool silent);
     void setServiceMs(double milliseconds);
+    /// Time until a closed connection is noticed, queued or running.
+    void setCancelNoticeMs(int milliseconds);
     [[nodiscard]] std::vector<RunRecord> record() const;
     [[nodiscard]] UpstreamStatistics statistics() const;
 
@@ -84,7 +86,14 @@
 private:
     class SlotHold;
 
-    bool enterSlot(std::int64_t deadlineMs);
+    enum class Entry {
+        Entered,
+        Shed,
+        Cancelled,
+    };
+
+    Entry enterSlot(Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs);
+    bool awaitSlot(std::unique_lock<std::mutex> &lock, Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs);
     void leaveSlot();
     [[nodiscard]] int usableSlots() const;
     void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body, SlotHold &slot);
@@ -99,6 +108,7 @@
     std::atomic<bool> hidesLeaving_{false};
     std::atomic<bool> silent_{false};
     std::atomic<double> serviceMs_;
+    std::atomic<int> cancelNoticeMs_{5};
     mutable std::mutex mutex_;
     std::condition_variable slotFreed_;
     int running_ = 0;
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -86,6 +86,7 @@
     service.queueWaitMs = 200;
     service.maxAttempts = 3;
     service.retryPercent = 10;
+    service.cancelMs = 500;
     service.maxBodyBytes = 64 << 20;
     service.lookupMaxAgeSeconds = 1;
     set.services = {service};
