Split a zone's reports between its two relays; keep review figures whole

Weighed: a longer report interval (loses more with a killed VM), collectors that are no relays (a third link for each VM), the second relay alone (moves the peak). Now the VMs of a zone form two groups by a hash of their ids; each relay collects one.

The time line records starts of stops and leaving upstreams (kinds that were declared and never recorded); shift-cap-reached is gone, the status shows it. Callers in tests can be open loops.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -13,6 +13,7 @@
 #include <callers/forwarder.h>
 #include <nodes/generationstore.h>
 #include <nodes/mesh.h>
+#include <nodes/topology.h>
 #include <platform/slotclaim.h>
 #include <platform/vmlist.h>
 #include <steering/decision.h>
@@ -30,6 +31,7 @@
 #include <Poco/Thread.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Wasabistair::App {
 
@@ -72,7 +74,6 @@
         , engine_(clock, recorder_, slot_, settings.vm, settings.region, randomSeed)
         , mesh_(transport, clock, hybridClock_, timeline_, {settings.vm, identity_.incarnation, settings.seeds})
         , feed_(store, clock, timeline_, mesh_, generations_, slot_, engine_, settings.seeds.size(), randomSeed + 1)
-        , zoneWriter_(store, clock, settings.zone, settings.vm, identity_.incarnation)
         , pool_(clock)
         , forwarder_(engine_, pool_, clock, {settings.bufferBytes, settings.bodyTimeoutMs})
         , prober_(clock)
@@ -80,7 +81,11 @@
         , server_(
               settings.callerAddress, [this](Callers::CallerExchange &exchange) { api_.handle(exchange); },
               {settings.headerTimeoutMs, settings.idleTimeoutMs, settings.maxConnections, settings.maxHeaderBytes}, clock)
-    {}
+    {
+        for (std::size_t group = 0; group < Nodes::reportGroups; ++group) {
+            zoneWriters_.push_back(std::make_unique<ZoneWriter>(store, clock, groupName(settings.zone, group), settings.vm, identity_.incarnation));
+        }
+    }
 
     int run(const std::function<StopRequest()> &stopRequested)
     {
@@ -104,7 +109,7 @@
         Nodes::MeshHandlers handlers;
         handlers.generationSeen = [this](std::uint64_t generation, const std::string &digest) { feed_.generationSeen(generation, digest); };
         handlers.listReceived = [this](const Platform::ListDelta &delta) { feed_.listSeen(delta); };
-        handlers.reportReceived = [this](const Nodes::Report &report) { zoneWriter_.receive(report); };
+        handlers.reportReceived = [this](const Nodes::Report &report) { zoneWriters_[Nodes::reportGroupOf(report.node)]->receive(report); };
         handlers.contact = [this] { slot_.observeContact(); };
         handlers.part = [this](const std::string &digest) { return generations_.part(digest); };
         handlers.listDelta = [this](Platform::Version known) { return feed_.listDelta(known); };
@@ -123,16 +128,39 @@
         const Nodes::GenerationId current = generations_.current();
         mesh_.setState(current.generation, current.manifestDigest, engine_.isReady() && !engine_.isDraining());
         const auto table = engine_.table();
-        for (const std::string &stop : recorder_.followStops(*table)) {
+        const StopChanges stops = recorder_.followStops(*table);
+        for (const std::string &stop : stops.started) {
+            timeline_.record(Base::EventKind::StopStarted, current.generation, stop, "declared start");
+        }
+        for (const std::string &stop : stops.drained) {
             timeline_.record(Base::EventKind::StopDrained, current.generation, stop, "nothing in flight");
         }
         if (++ticks_ % ticksPerSample == 0) {
             recorder_.sampleHeadroom(*table);
+            noteLeaving(*table);
             pool_.prune();
         }
         return tickMs;
     }
 
+    void noteLeaving(const Steering::RoutingTable &table)
+    {
+        std::set<std::string> leaving;
+        for (const Steering::PlaceEntry &place : table.places) {
+            for (const Steering::ServerEntry &server : place.servers) {
+                const bool listed = server.vm.state == Steering::VmState::Leaving;
+                if (!listed && !server.load->isLeaving(clock_.monotonic())) {
+                    continue;
+                }
+                leaving.insert(server.vm.id);
+                if (!leaving_.contains(server.vm.id)) {
+                    timeline_.record(Base::EventKind::UpstreamLeaving, table.configuration->generation, server.vm.id, listed ? "list" : "said so itself");
+                }
+            }
+        }
+        leaving_ = std::move(leaving);
+    }
+
     std::size_t rivals() const
     {
         const Platform::VmList list = feed_.list();
@@ -198,14 +226,15 @@
 
     std::int64_t report()
     {
-        const auto [month, figures] = recorder_.figures();
-        const Nodes::Report own{settings_.vm, identity_.incarnation, encodeReport(status(), month, figures)};
-        mesh_.sendReport(own);
-        const bool collects = mesh_.isFirstRelay();
-        if (collects) {
-            zoneWriter_.receive(own);
+        const nlohmann::json state = status();
+        for (const MonthFigures &month : recorder_.figures()) {
+            const Nodes::Report own{settings_.vm, identity_.incarnation, encodeReport(state, month.month, month.figures)};
+            mesh_.sendReport(own);
+            zoneWriters_[Nodes::reportGroupOf(own.node)]->receive(own);
+        }
+        for (std::size_t group = 0; group < zoneWriters_.size(); ++group) {
+            zoneWriters_[group]->flush(mesh_.collects(group) && !engine_.isDraining());
         }
-        zoneWriter_.flush(collects && !engine_.isDraining());
         return settings_.reportIntervalMs;
     }
 
@@ -249,7 +278,7 @@
     void addRequestMetrics(prometheus::Registry &registry)
     {
         auto &requests = prometheus::BuildCounter().Name("wasabistair_requests_total").Help("Requests of callers this month.").Register(registry);
-        for (const auto &entry : recorder_.figures().second.places) {
+        for (const auto &entry : recorder_.figures().front().figures.places) {
             const auto add = [&](const std::string &outcome, std::uint64_t value) {
                 requests.Add({{"service", entry.first.first}, {"place", entry.first.second}, {"outcome", outcome}}).Increment(static_cast<double>(value));
             };
@@ -286,7 +315,9 @@
             }
         }
         report();
-        zoneWriter_.release();
+        for (const auto &writer : zoneWriters_) {
+            writer->release();
+        }
         slot_.release();
         // Threads are not joined: a waiting watch would hold the end up for seconds.
         return 0;
@@ -305,7 +336,7 @@
     Nodes::GenerationStore generations_;
     Nodes::Mesh mesh_;
     ConfigurationFeed feed_;
-    ZoneWriter zoneWriter_;
+    std::vector<std::unique_ptr<ZoneWriter>> zoneWriters_;
     Upstreams::ConnectionPool pool_;
     Callers::Forwarder forwarder_;
     Upstreams::Prober prober_;
@@ -316,6 +347,7 @@
     std::int64_t ticks_ = 0;
     Base::MonotonicMs slotVerified_ = 0;
     std::uint64_t slotChecks_ = 0;
+    std::set<std::string> leaving_;
     bool ready_ = false;
     bool hadSlot_ = false;
 };
--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -78,7 +78,7 @@
     }
 }
 
-std::vector<std::string> Recorder::followStops(const Steering::RoutingTable &table)
+StopChanges Recorder::followStops(const Steering::RoutingTable &table)
 {
     const Base::WallMs wall = clock_.wall();
     std::map<std::string, Operators::StopFigures> active;
@@ -93,31 +93,48 @@
             }
         }
     }
-    std::vector<std::string> drained;
+    StopChanges changes;
     const std::unique_lock lock(mutex_);
     for (const auto &[name, now] : active) {
         const auto [entry, added] = stops_.try_emplace(name, Operators::StopFigures{now.start, now.start, 0});
         Operators::StopFigures &figures = entry->second;
+        if (added) {
+            changes.started.push_back(name);
+        }
         if (now.inFlight > 0) {
             figures.lastEnd = wall;
         }
         if (now.inFlight == 0 && (figures.inFlight > 0 || added)) {
-            drained.push_back(name);
+            changes.drained.push_back(name);
         }
         figures.inFlight = now.inFlight;
     }
-    return drained;
+    return changes;
 }
 
-std::pair<std::string, Operators::Figures> Recorder::figures()
+std::vector<MonthFigures> Recorder::figures()
 {
     const std::string month = Operators::monthOf(clock_.wall());
     const std::unique_lock lock(mutex_);
     if (month != month_) {
+        finished_ = present();
+        finishedAt_ = clock_.monotonic();
         month_ = month;
         places_.clear();
         stops_.clear();
     }
+    if (finished_ && clock_.monotonic() - finishedAt_ >= finishedKeepMs) {
+        finished_.reset();
+    }
+    std::vector<MonthFigures> result = {present()};
+    if (finished_) {
+        result.push_back(*finished_);
+    }
+    return result;
+}
+
+MonthFigures Recorder::present()
+{
     Operators::Figures figures;
     for (const auto &[key, record] : places_) {
         Operators::PlaceFigures &place = figures.places[key];
@@ -130,6 +147,9 @@
         place.peakPermille = record->peak.load(std::memory_order_relaxed);
     }
     figures.stops = stops_;
+    // Rises although the wall clock may be set back.
+    lastAsOf_ = std::max(lastAsOf_ + 1, clock_.wall());
+    figures.asOf = lastAsOf_;
     return {month_, figures};
 }
 
--- a/src/app/zonewriter.cpp
+++ b/src/app/zonewriter.cpp
@@ -60,9 +60,14 @@
     return "wasabistair/status/";
 }
 
-std::string statusKey(const std::string &zone)
+std::string statusKey(const std::string &group)
 {
-    return statusPrefix() + zone;
+    return statusPrefix() + group;
+}
+
+std::string groupName(const std::string &zone, std::size_t group)
+{
+    return zone + "." + std::to_string(group);
 }
 
 std::string encodeReport(const Json &status, const std::string &month, const Operators::Figures &figures)
@@ -70,11 +75,11 @@
     return deflated(Json{{"status", status}, {"month", month}, {"figures", Operators::figuresToJson(figures)}}.dump());
 }
 
-ZoneWriter::ZoneWriter(Platform::ObjectStore &store, const Base::Clock &clock, std::string zone, std::string vm, std::uint64_t incarnation)
+ZoneWriter::ZoneWriter(Platform::ObjectStore &store, const Base::Clock &clock, std::string group, std::string vm, std::uint64_t incarnation)
     : store_(store)
     , clock_(clock)
-    , zone_(std::move(zone))
-    , lease_(store, clock, "wasabistair/leases/zone-" + zone_, std::move(vm), incarnation, leaseMs)
+    , group_(std::move(group))
+    , lease_(store, clock, "wasabistair/leases/reports-" + group_, std::move(vm), incarnation, leaseMs)
 {}
 
 void ZoneWriter::receive(const Nodes::Report &report)
@@ -88,7 +93,8 @@
         return;
     }
     const std::lock_guard lock(mutex_);
-    reports_[{report.node, report.incarnation}] = {clock_.monotonic(), json["status"].dump(), json["month"].get<std::string>(), *figures};
+    const Operators::Source source{report.node, report.incarnation};
+    reports_[{source, json["month"].get<std::string>()}] = {clock_.monotonic(), json["status"].dump(), *figures};
 }
 
 void ZoneWriter::flush(bool eligible)
@@ -100,67 +106,78 @@
     if (!lease_.refresh()) {
         return;
     }
-    std::map<Operators::Source, Received> reports;
+    Reports reports;
     {
         const std::lock_guard lock(mutex_);
-        std::erase_if(reports_, [this](const auto &entry) { return clock_.monotonic() - entry.second.at > retireAfterMs; });
+        std::erase_if(reports_, [this](const auto &entry) { return clock_.monotonic() - entry.second.at > reportKeepMs; });
         reports = reports_;
     }
     writeStatus(reports);
     std::set<std::string> months;
-    for (const auto &[source, received] : reports) {
-        months.insert(received.month);
+    for (const auto &[key, received] : reports) {
+        months.insert(key.second);
     }
     for (const std::string &month : months) {
         writeReview(month, reports);
     }
 }
 
-void ZoneWriter::writeStatus(const std::map<Operators::Source, Received> &reports)
+void ZoneWriter::writeStatus(const Reports &reports)
 {
-    Json vms = Json::array();
-    for (const auto &[source, received] : reports) {
+    // Of several months' reports the last one stands.
+    std::map<Operators::Source, const Received *> latest;
+    for (const auto &[key, received] : reports) {
         if (clock_.monotonic() - received.at <= statusKeepMs) {
-            vms.push_back(Json::parse(received.status, nullptr, false));
+            latest[key.first] = &received;
         }
     }
+    Json vms = Json::array();
+    for (const auto &[source, received] : latest) {
+        vms.push_back(Json::parse(received->status, nullptr, false));
+    }
     const std::uint64_t epoch = lease_.epoch();
-    update(store_, statusKey(zone_), [&](const std::string &before) -> std::optional<std::string> {
+    update(store_, statusKey(group_), [&](const std::string &before) -> std::optional<std::string> {
         const Json old = Json::parse(before, nullptr, false);
         // A later holder of the lease has written: this one was paused.
         const bool fenced = old.is_object() && old.value("epoch", std::uint64_t{0}) > epoch;
         if (fenced || !lease_.isHeld()) {
             return std::nullopt;
         }
-        return Json{{"epoch", epoch}, {"zone", zone_}, {"wall", clock_.wall()}, {"vms", vms}}.dump();
+        return Json{{"epoch", epoch}, {"group", group_}, {"wall", clock_.wall()}, {"vms", vms}}.dump();
     });
 }
 
-void ZoneWriter::writeReview(const std::string &month, const std::map<Operators::Source, Received> &reports)
+std::vector<Operators::Source> ZoneWriter::gone(const Operators::ReviewObject &review, const std::string &month, const Reports &reports) const
 {
-    update(store_, Operators::reviewKey(month, zone_), [&](const std::string &before) -> std::optional<std::string> {
+    std::map<std::string, std::uint64_t> latest;
+    for (const auto &[source, figures] : review.live) {
+        latest[source.vm] = source.incarnation;
+    }
+    std::vector<Operators::Source> result;
+    for (const auto &[source, figures] : review.live) {
+        const bool superseded = source.incarnation < latest[source.vm];
+        const bool silent = clock_.wall() - figures.asOf > retireAfterMs;
+        if ((superseded || silent) && !reports.contains({source, month})) {
+            result.push_back(source);
+        }
+    }
+    return result;
+}
+
+void ZoneWriter::writeReview(const std::string &month, const Reports &reports)
+{
+    update(store_, Operators::reviewKey(month, group_), [&](const std::string &before) -> std::optional<std::string> {
         auto review = before.empty() ? Operators::ReviewObject{} : Operators::decodeReview(before).value_or(Operators::ReviewObject{});
         const bool unreadable = !before.empty() && !Operators::decodeReview(before);
         if (unreadable || !lease_.isHeld()) {
             return std::nullopt;
         }
-        for (const auto &[source, received] : reports) {
-            if (received.month == month) {
-                review.put(source, received.figures);
-            }
-        }
-        // An incarnation whose VM has reported under a later one will not report again.
-        std::map<std::string, std::uint64_t> latest;
-        for (const auto &[source, figures] : review.live) {
-            latest[source.vm] = source.incarnation;
-        }
-        std::vector<Operators::Source> superseded;
-        for (const auto &[source, figures] : review.live) {
-            if (source.incarnation < latest[source.vm] && !reports.contains(source)) {
-                superseded.push_back(source);
+        for (const auto &[key, received] : reports) {
+            if (key.second == month) {
+                review.put(key.first, received.figures);
             }
         }
-        for (const Operators::Source &source : superseded) {
+        for (const Operators::Source &source : gone(review, month, reports)) {
             review.retire(source, clock_.wall());
         }
         return Operators::encodeReview(review);
--- a/src/libs/base/timeline.cpp
+++ b/src/libs/base/timeline.cpp
@@ -28,7 +28,6 @@
     "stop-started",
     "stop-drained",
     "upstream-leaving",
-    "shift-cap-reached",
 };
 
 EventKind kindFromName(std::string_view name)
--- a/src/libs/base/timeline.h
+++ b/src/libs/base/timeline.h
@@ -31,7 +31,6 @@
     StopStarted,
     StopDrained,
     UpstreamLeaving,
-    ShiftCapReached,
 };
 
 [[nodiscard]] std::string_view toString(EventKind kind);
--- a/src/libs/nodes/mesh.cpp
+++ b/src/libs/nodes/mesh.cpp
@@ -1,8 +1,11 @@
 #include "mesh.h"
 
-#include <algorithm>
+#include "topology.h"
+
 #include <base/log.h>
 
+#include <algorithm>
+
 namespace Wasabistair::Nodes {
 
 namespace {
@@ -374,14 +377,9 @@
 void Mesh::sendReport(const Report &report)
 {
     const std::lock_guard lock(mutex_);
-    for (const std::string &relay : peers_.ownRelays()) {
-        if (const auto id = linkTo(relay)) {
-            transport_.send(*id, encodeMessage(report));
-            return;
-        }
-        if (relay == settings_.self) {
-            return;
-        }
+    const std::string collector = collectorOf(peers_.ownRelays(), reportGroupOf(settings_.self));
+    if (const auto id = linkTo(collector)) {
+        transport_.send(*id, encodeMessage(report));
     }
 }
 
@@ -458,11 +456,10 @@
     return peers_.isOwnRelay(settings_.self);
 }
 
-bool Mesh::isFirstRelay() const
+bool Mesh::collects(std::size_t group) const
 {
     const std::lock_guard lock(mutex_);
-    const auto relays = peers_.ownRelays();
-    return !relays.empty() && relays.front() == settings_.self;
+    return collectorOf(peers_.ownRelays(), group) == settings_.self;
 }
 
 bool Mesh::hearsRelay() const
--- a/src/libs/nodes/mesh.h
+++ b/src/libs/nodes/mesh.h
@@ -69,7 +69,7 @@
     void setList(const Platform::VmList &list);
     /// State announced in heartbeats; a change is announced at once.
     void setState(std::uint64_t generation, const std::string &manifestDigest, bool available);
-    /// Sends a report to the first relay of the own zone.
+    /// Sends a report to the relay that collects this VM's group; nothing while there is no connection to it.
     void sendReport(const Report &report);
     /// Asks peers that have at least @p generation for a part; blocks up to @p timeoutMs for each of them.
     [[nodiscard]] std::optional<std::string> fetchPart(const std::string &digest, std::uint64_t generation, Base::MonotonicMs timeoutMs);
@@ -77,8 +77,8 @@
     /// Entry VMs known to take no callers.
     [[nodiscard]] std::vector<std::string> unavailable() const;
     [[nodiscard]] bool isRelay() const;
-    /// True on the relay that collects its zone's reports.
-    [[nodiscard]] bool isFirstRelay() const;
+    /// True on the relay that collects the reports of @p group of its zone.
+    [[nodiscard]] bool collects(std::size_t group) const;
     /// True while a relay of the own zone was heard lately.
     [[nodiscard]] bool hearsRelay() const;
     [[nodiscard]] std::size_t peersHeard() const;
--- a/src/libs/nodes/topology.cpp
+++ b/src/libs/nodes/topology.cpp
@@ -9,6 +9,17 @@
 using Steering::Vm;
 using Steering::VmKind;
 
+std::size_t reportGroupOf(const std::string &vm)
+{
+    // The low bits: relays are chosen by the whole value, and each should collect for half of the zone.
+    return static_cast<std::size_t>(Steering::hashOf(vm) % reportGroups);
+}
+
+std::string collectorOf(const std::vector<std::string> &relays, std::size_t group)
+{
+    return relays.empty() ? std::string() : relays[group % relays.size()];
+}
+
 std::vector<std::string> relaysOf(const std::vector<Vm> &vms, const std::string &zone, const std::set<std::string> &suspects)
 {
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
--- a/src/libs/operators/review.cpp
+++ b/src/libs/operators/review.cpp
@@ -52,6 +52,7 @@
     for (const auto &[name, entry] : json.at("stops").items()) {
         figures.stops[name] = {entry.at("start").get<std::int64_t>(), entry.at("lastEnd").get<std::int64_t>(), entry.at("inFlight").get<std::int64_t>()};
     }
+    figures.asOf = json.value("asOf", std::int64_t{0});
     return figures;
 }
 
@@ -71,6 +72,7 @@
 Figures Figures::mergedWith(const Figures &other) const
 {
     Figures sum = *this;
+    sum.asOf = std::max(asOf, other.asOf);
     for (const auto &[key, figures] : other.places) {
         const auto [entry, added] = sum.places.try_emplace(key, figures);
         if (!added) {
@@ -88,8 +90,13 @@
 
 void ReviewObject::put(const Source &source, const Figures &figures)
 {
-    if (!retiredSources.contains(source)) {
-        live[source] = figures;
+    if (retiredSources.contains(source)) {
+        return;
+    }
+    // A collector that was paused or cut off may still hold an old report.
+    const auto [entry, added] = live.try_emplace(source, figures);
+    if (!added && figures.asOf >= entry->second.asOf) {
+        entry->second = figures;
     }
 }
 
@@ -129,7 +136,7 @@
     for (const auto &[name, stop] : figures.stops) {
         stops[name] = {{"start", stop.start}, {"lastEnd", stop.lastEnd}, {"inFlight", stop.inFlight}};
     }
-    return {{"places", places}, {"stops", stops}};
+    return {{"places", places}, {"stops", stops}, {"asOf", figures.asOf}};
 }
 
 std::optional<Figures> figuresFromJson(const Json &json)
@@ -190,9 +197,9 @@
     return "wasabistair/review/" + month + "/";
 }
 
-std::string reviewKey(const std::string &month, const std::string &zone)
+std::string reviewKey(const std::string &month, const std::string &group)
 {
-    return reviewPrefix(month) + zone;
+    return reviewPrefix(month) + group;
 }
 
 } // namespace Wasabistair::Operators
--- a/src/libs/operators/review.h
+++ b/src/libs/operators/review.h
@@ -46,6 +46,8 @@
 struct Figures {
     std::map<std::pair<std::string, std::string>, PlaceFigures> places;
     std::map<std::string, StopFigures> stops;
+    /// Wall milliseconds at which they were taken; rises with each report of one incarnation.
+    std::int64_t asOf = 0;
 
     bool operator==(const Figures &) const = default;
     [[nodiscard]] Figures mergedWith(const Figures &other) const;
@@ -59,7 +61,7 @@
     auto operator<=>(const Source &) const = default;
 };
 
-/// The review object of one zone and month. Figures of an incarnation are overwritten, never added, so
+/// The review object of one group of a zone's VMs and one month. Figures of an incarnation are overwritten, never added, so
 /// that repeated writes and lost answers change nothing; those of retired incarnations are folded into
 /// one sum, and their names kept, so that none is folded twice.
 struct ReviewObject {
@@ -69,11 +71,11 @@
 
     bool operator==(const ReviewObject &) const = default;
 
-    /// Replaces the figures of @p source. Ignored if @p source was retired.
+    /// Replaces the figures of @p source, unless those kept are later or @p source was retired.
     void put(const Source &source, const Figures &figures);
     /// Folds @p source into the sum; @p wall is kept with its name.
     void retire(const Source &source, std::int64_t wall);
-    /// Figures of the whole zone.
+    /// Figures of the whole group.
     [[nodiscard]] Figures total() const;
 };
 
@@ -85,6 +87,6 @@
 /// "YYYY-MM" in UTC.
 [[nodiscard]] std::string monthOf(std::int64_t wallMs);
 [[nodiscard]] std::string reviewPrefix(const std::string &month);
-[[nodiscard]] std::string reviewKey(const std::string &month, const std::string &zone);
+[[nodiscard]] std::string reviewKey(const std::string &month, const std::string &group);
 
 } // namespace Wasabistair::Operators
--- a/tests/auto/faults/tst_outage.cpp
+++ b/tests/auto/faults/tst_outage.cpp
@@ -150,6 +150,43 @@
     CHECK_FALSE(fleet.status(5).value("ready", true));
 }
 
+TEST_CASE_FIXTURE(OutageFixture, "newVm_platformDownWithSeeds_takesThePeersGenerationAndIsReadyOnceItHasASlot")
+{
+    start();
+    const std::uint64_t generation = publishNext();
+    REQUIRE(eventually([&] { return allInForce(generation); }, inForceLimitMs));
+    fleet.platform().setFaults({.down = true});
+    fleet.vms()[5].process->kill();
+    std::string seeds;
+    for (std::size_t i = 0; i < 5; ++i) {
+        const Steering::Vm &vm = fleet.vms()[i].vm;
+        seeds += (seeds.empty() ? "" : ",") + vm.host + ":" + std::to_string(vm.nodePort);
+    }
+    fleet.startVm(5, {"--seeds=" + seeds});
+    std::uint64_t first = 0;
+    const auto started = [&] {
+        first = fleet.status(5).value("generation", std::uint64_t{0});
+        return first > 0;
+    };
+    CHECK(eventually(started, 30'000));
+    // Nothing lower was in force before, and without a slot it sends nothing to any upstream.
+    CHECK(first == generation);
+    CHECK_FALSE(fleet.status(5).value("ready", true));
+    CallerConnectionClient client(fleet.entries()[5], 10'000);
+    CallerRequest request;
+    request.id = "early";
+    request.host = "orders.test";
+    CHECK(client.call(request).result == CallerResult::NotRun);
+    CHECK(fleet.runsById().empty());
+    request.host = "any.test";
+    request.path = "/v1/lookup?service=order-ledger";
+    const CallerRecord lookUp = client.call(request);
+    CHECK(lookUp.status == 200);
+    CHECK(lookUp.body.find("\"generation\":" + std::to_string(generation)) != std::string::npos);
+    fleet.platform().setFaults({});
+    CHECK(fleet.awaitReady(generation, 60'000));
+}
+
 TEST_CASE_FIXTURE(OutageFixture, "generation_whileVmsDieAndPublishersRace_neverGoesBack")
 {
     start();
--- a/tests/auto/nodes/tst_mesh.cpp
+++ b/tests/auto/nodes/tst_mesh.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <nodes/mesh.h>
+#include <nodes/topology.h>
 #include <nodes/websockettransport.h>
 #include <standins/fleet.h>
 #include <standins/ports.h>
@@ -167,20 +168,39 @@
     CHECK(nodes[1]->highestSeen <= 1);
 }
 
-TEST_CASE_FIXTURE(MeshFixture, "mesh_report_reachesTheFirstRelayOfTheZone")
+TEST_CASE("mesh_report_reachesTheCollectorOfItsGroupAlone")
 {
-    REQUIRE(StandIns::eventually([&] { return allLinked(); }, waitMs));
-    const std::size_t first = nodes[0]->mesh.isFirstRelay() ? 0 : 1;
-    Node &relay = *nodes[first];
-    Node &member = *nodes[1 - first];
-    const std::string name = "n" + std::to_string(1 - first);
-    CHECK_FALSE(member.mesh.isFirstRelay());
-    member.mesh.sendReport({name, 1, "{}"});
-    CHECK(StandIns::eventually([&] { return relay.reports == 1; }, waitMs));
+    MeshFixture fixture(4);
+    const auto &nodes = fixture.nodes;
+    const auto linked = [&] { return std::all_of(nodes.begin(), nodes.end(), [](const auto &node) { return node->mesh.peersHeard() >= 2; }); };
+    REQUIRE(StandIns::eventually(linked, waitMs));
+    std::vector<int> expected(nodes.size(), 0);
+    std::size_t elsewhere = nodes.size();
+    for (std::size_t sender = 0; sender < nodes.size(); ++sender) {
+        const std::size_t first = sender < 4 ? 0 : 4;
+        const std::size_t group = reportGroupOf(fixture.list.vms[sender].id);
+        std::vector<std::size_t> collectors;
+        for (std::size_t i = first; i < first + 4; ++i) {
+            if (nodes[i]->mesh.collects(group)) {
+                collectors.push_back(i);
+            }
+        }
+        REQUIRE(collectors.size() == 1);
+        if (collectors.front() != sender) {
+            ++expected[collectors.front()];
+            elsewhere = sender;
+        }
+        nodes[sender]->mesh.sendReport({fixture.list.vms[sender].id, 1, "{}"});
+    }
+    const auto arrived
+        = [&] { return std::equal(nodes.begin(), nodes.end(), expected.begin(), [](const auto &node, int count) { return node->reports == count; }); };
+    CHECK(StandIns::eventually(arrived, waitMs));
     // One that claims to come from another VM is not taken.
-    member.mesh.sendReport({"n2", 1, "{}"});
-    CHECK(StandIns::eventually([&] { return relay.mesh.status().refusedMessages == 1; }, waitMs));
-    CHECK(relay.reports == 1);
+    REQUIRE(elsewhere < nodes.size());
+    nodes[elsewhere]->mesh.sendReport({"n999", 1, "{}"});
+    const auto refused = [&] { return std::count_if(nodes.begin(), nodes.end(), [](const auto &node) { return node->mesh.status().refusedMessages == 1; }); };
+    CHECK(StandIns::eventually([&] { return refused() == 1; }, waitMs));
+    CHECK(arrived());
 }
 
 TEST_CASE_FIXTURE(MeshFixture, "mesh_newList_reachesNodesThatDoNotAskThePlatform")
--- a/tests/auto/nodes/tst_topology.cpp
+++ b/tests/auto/nodes/tst_topology.cpp
@@ -95,3 +95,25 @@
     }
     CHECK(ordinary == 680 - 10 * relaysPerZone);
 }
+
+TEST_CASE("reportGroups_zonesOfManySizes_haveOneCollectorEachAndEvenLoad")
+{
+    for (const int size : {1, 2, 9, 68}) {
+        const std::vector<Steering::Vm> vms = fleetOf(1, size);
+        std::map<std::size_t, int> members;
+        for (const Steering::Vm &vm : vms) {
+            ++members[reportGroupOf(vm.id)];
+        }
+        const std::vector<std::string> relays = relaysOf(vms, "z0", {});
+        for (std::size_t group = 0; group < reportGroups; ++group) {
+            CHECK(collectorOf(relays, group) == relays[group % relays.size()]);
+        }
+        if (size == 68) {
+            CHECK(collectorOf(relays, 0) != collectorOf(relays, 1));
+            // Even within three standard deviations of a fair coin thrown 68 times.
+            CHECK(members[0] >= 22);
+            CHECK(members[1] >= 22);
+        }
+    }
+    CHECK(collectorOf({}, 0).empty());
+}
--- a/tests/benchmarks/bench_path.cpp
+++ b/tests/benchmarks/bench_path.cpp
@@ -93,17 +93,17 @@
     plan.queue = 4;
     Fleet fleet(plan);
     startFleet(fleet, fleet.objects());
-    // Six servers with 4 slots at 20 ms: 1200 requests/s. Each caller waits between requests, so that
-    // its number sets the rate asked for.
+    // Six servers with 4 slots at 20 ms: 1200 requests/s. Requests begin at fixed times (open loop), however
+    // the earlier ones went; callers are so many that refusals hold none of them up.
     const double capacity = 1'200;
     std::size_t atCapacity = 0;
     for (const int times : {1, 2, 5, 10}) {
         LoadPlan load;
         load.entries = fleet.entries();
         load.host = plan.host;
-        load.callers = 30 * times;
+        load.callers = 300;
         load.durationMs = 5'000;
-        load.pauseMs = times == 1 ? 3 : 5;
+        load.ratePerSecond = capacity * times;
         load.postPercent = 30;
         load.idPrefix = "x" + std::to_string(times) + "-";
         const auto records = runLoad(load);
--- a/tests/standins/callerload.cpp
+++ b/tests/standins/callerload.cpp
@@ -121,18 +121,68 @@
     return names.at(static_cast<std::size_t>(result));
 }
 
+namespace {
+
+using Time = std::chrono::steady_clock::time_point;
+
+/// Times at which one caller is to begin its requests.
+class Schedule
+{
+public:
+    Schedule(const LoadPlan &plan, int caller, Time start)
+        : plan_(plan)
+        , interval_(plan.ratePerSecond > 0 ? plan.callers / plan.ratePerSecond : 0)
+        , next_(start + seconds(interval_ * caller / plan.callers))
+    {}
+
+    /// Waits for the next request's time; returns by how many microseconds it is late.
+    std::int64_t await()
+    {
+        if (interval_ <= 0) {
+            return 0;
+        }
+        std::this_thread::sleep_until(next_);
+        const auto late = std::chrono::steady_clock::now() - next_;
+        next_ += seconds(interval_);
+        return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(late).count());
+    }
+
+    /// Waits between two requests of a closed loop.
+    void pause(CallerResult last) const
+    {
+        if (plan_.pauseMs > 0 || last == CallerResult::NoAnswer) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(std::max(1, plan_.pauseMs)));
+        }
+    }
+
+private:
+    static std::chrono::steady_clock::duration seconds(double value)
+    {
+        return std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(value));
+    }
+
+    const LoadPlan &plan_;
+    const double interval_;
+    Time next_;
+};
+
+} // namespace
+
 std::vector<CallerRecord> runLoad(const LoadPlan &plan)
 {
     std::vector<CallerRecord> all;
     std::mutex mutex;
     std::vector<std::thread> threads;
-    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(plan.durationMs);
+    const Time start = std::chrono::steady_clock::now();
+    const Time end = start + std::chrono::milliseconds(plan.durationMs);
     for (int caller = 0; caller < plan.callers; ++caller) {
         threads.emplace_back([&, caller] {
             std::mt19937 random(static_cast<unsigned>(caller));
             std::vector<CallerRecord> own;
             CallerConnectionClient client(plan.entries[static_cast<std::size_t>(caller) % plan.entries.size()], plan.timeoutMs);
+            Schedule schedule(plan, caller, start);
             for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+                const std::int64_t lateUs = schedule.await();
                 CallerRequest request;
                 request.id = plan.idPrefix + std::to_string(caller) + "-" + std::to_string(i);
                 request.host = plan.host;
@@ -144,9 +194,8 @@
                 }
                 own.push_back(client.call(request));
                 own.back().body.clear();
-                if (plan.pauseMs > 0 || own.back().result == CallerResult::NoAnswer) {
-                    std::this_thread::sleep_for(std::chrono::milliseconds(std::max(1, plan.pauseMs)));
-                }
+                own.back().latencyUs += lateUs;
+                schedule.pause(own.back().result);
             }
             const std::lock_guard lock(mutex);
             all.insert(all.end(), own.begin(), own.end());
--- a/tests/standins/callerload.h
+++ b/tests/standins/callerload.h
@@ -74,6 +74,9 @@
     int durationMs = 1'000;
     /// Each caller waits this long between requests.
     int pauseMs = 0;
+    /// All callers together begin so many requests a second, at fixed times whatever came of earlier ones
+    /// (open loop), and latency counts from those times. 0: each caller sends as soon as it was answered.
+    double ratePerSecond = 0;
     /// Share of POST requests, in percent.
     int postPercent = 0;
     std::size_t postBytes = 200;
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -164,13 +164,14 @@
     }
 }
 
-void Fleet::startVm(std::size_t index)
+void Fleet::startVm(std::size_t index, const std::vector<std::string> &more)
 {
     EntryVm &entry = vms_[index];
     std::vector<std::string> arguments = {"--vm=" + entry.vm.id, "--region=" + entry.vm.region, "--zone=" + entry.vm.zone,
         "--caller-address=127.0.0.1:" + std::to_string(entry.vm.port), "--node-address=127.0.0.1:" + std::to_string(entry.vm.nodePort),
         "--platform=127.0.0.1:" + std::to_string(platformPorts_[index]), "--report-interval-ms=1000"};
     arguments.insert(arguments.end(), plan_.extraSettings.begin(), plan_.extraSettings.end());
+    arguments.insert(arguments.end(), more.begin(), more.end());
     const char *logs = std::getenv("WASABISTAIR_TEST_LOGS");
     entry.process.reset();
     entry.process = std::make_unique<ChildProcess>("wasabistaird", arguments, logs ? std::string(logs) + "/" + entry.vm.id + ".log" : "");
--- a/tests/standins/fleet.h
+++ b/tests/standins/fleet.h
@@ -54,7 +54,8 @@
     /// Publishes and returns the generation.
     std::uint64_t publish(const Steering::ObjectSet &objects);
     void startVms();
-    void startVm(std::size_t index);
+    /// @p more: settings of this process alone.
+    void startVm(std::size_t index, const std::vector<std::string> &more = {});
     /// Publishes the list of VMs as the platform would show it.
     void showList(const std::vector<std::string> &without = {}, const std::vector<std::string> &leaving = {});
     /// Waits until every running VM says ready with at least @p generation; false after @p milliseconds.
