Mend a crash of /metrics after the first request

No test had read /metrics; path_controlPathsAfterRequests_* reads every control path after requests and checks the count. Before: process dead at the first /metrics.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -278,7 +278,8 @@
     void addRequestMetrics(prometheus::Registry &registry)
     {
         auto &requests = prometheus::BuildCounter().Name("wasabistair_requests_total").Help("Requests of callers this month.").Register(registry);
-        for (const auto &entry : recorder_.figures().front().figures.places) {
+        const Operators::Figures figures = recorder_.figures().front().figures;
+        for (const auto &entry : figures.places) {
             const auto add = [&](const std::string &outcome, std::uint64_t value) {
                 requests.Add({{"service", entry.first.first}, {"place", entry.first.second}, {"outcome", outcome}}).Increment(static_cast<double>(value));
             };
--- a/tests/auto/path/tst_path.cpp
+++ b/tests/auto/path/tst_path.cpp
@@ -55,6 +55,24 @@
     }
 }
 
+TEST_CASE_FIXTURE(PathFixture, "path_controlPathsAfterRequests_areAnsweredAndTheProcessLives")
+{
+    REQUIRE(fleet.awaitReady(generation));
+    CallerConnectionClient client(fleet.entries()[0], 10'000);
+    for (int i = 0; i < 3; ++i) {
+        CHECK(client.call({"read" + std::to_string(i), "GET", "orders.test", "/orders/1", 0, false, {}}).result == CallerResult::Answered);
+    }
+    for (const char *path : {"/metrics", "/v1/status", "/v1/timeline", "/healthz", "/readyz", "/metrics"}) {
+        INFO(path);
+        const CallerRecord answer = client.call({"control", "GET", "any.test", path, 0, false, {}});
+        CHECK(answer.status == 200);
+        CHECK_FALSE(answer.body.empty());
+    }
+    const std::string metrics = client.call({"metrics", "GET", "any.test", "/metrics", 0, false, {}}).body;
+    CHECK(metrics.find("wasabistair_requests_total{outcome=\"answered\",place=\"order-ledger-leinster\",service=\"order-ledger\"} 3") != std::string::npos);
+    CHECK(fleet.vms()[0].process->isRunning());
+}
+
 TEST_CASE_FIXTURE(PathFixture, "path_lookup_namesReadyVmsNearestFirst")
 {
     REQUIRE(fleet.awaitReady(generation));
