Listen on ports that no other process shares

Seen: tst_figures' fleet once not ready in 30 s beside three other targets; after ports were handed out from blocks, nine targets failed at once when four ran together (transport errors, processes that answered {}, foreign lists). Cause: the HTTP library binds with SO_REUSEPORT unless told otherwise, so two processes can listen on one port and callers reach either. In the product a second wasabistaird on a taken caller port started silently and took part of its callers; in the tests, ports "found free" by binding could belong to another target's process. Ruled out: ports of outgoing connections alone (the daemon would have ended, and a fleet without it counts as ready). Now the caller port, the stand-ins and the test ports are bound without it; test ports come from blocks below the range for outgoing connections, each owned by one process. awaitReady() says what kept a fleet.

path_callerPortTaken_*: before, the second process ran on and answered for the first (-1 instead of exit code 3); now 3.

--- a/src/libs/callers/callerserver.cpp
+++ b/src/libs/callers/callerserver.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// POCO lets several processes listen on one port by default and callers would reach either of them.
+constexpr bool sharePort = false;
+
 constexpr int backlog = 512;
 constexpr int minThreads = 4;
 constexpr int stackBytes = 256 * 1024;
@@ -53,7 +56,7 @@
     , threads_(minThreads, limits.maxConnections, threadIdleSeconds, stackBytes)
 {
     CustomServerSocket socket(new Http::RecordingServerSocketImpl(clock_));
-    socket.bind(Poco::Net::SocketAddress(address.host, address.port), true);
+    socket.bind(Poco::Net::SocketAddress(address.host, address.port), true, sharePort);
     socket.listen(backlog);
     auto *params = new Poco::Net::TCPServerParams;
     params->setMaxThreads(limits_.maxConnections);
--- a/tests/auto/faults/tst_figures.cpp
+++ b/tests/auto/faults/tst_figures.cpp
@@ -32,6 +32,7 @@
     {
         std::signal(SIGPIPE, SIG_IGN);
         const std::uint64_t generation = fleet.publish(fleet.objects());
+        REQUIRE(generation == 1);
         fleet.startVms();
         REQUIRE(fleet.awaitReady(generation));
     }
--- a/tests/auto/path/tst_path.cpp
+++ b/tests/auto/path/tst_path.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <standins/fleet.h>
+#include <standins/ports.h>
 
 #include <nlohmann/json.hpp>
 
@@ -98,3 +99,14 @@
     fleet.vms()[0].process->signal(SIGTERM);
     CHECK(fleet.vms()[0].process->waitFor(20'000) == 0);
 }
+
+TEST_CASE_FIXTURE(PathFixture, "path_callerPortTaken_endsWithThreeAndTheOtherServesOn")
+{
+    REQUIRE(fleet.awaitReady(generation));
+    const Steering::Vm &vm = fleet.vms()[0].vm;
+    ChildProcess second("wasabistaird",
+        {"--vm=second", "--region=" + vm.region, "--zone=" + vm.zone, "--caller-address=127.0.0.1:" + std::to_string(vm.port),
+            "--node-address=127.0.0.1:" + std::to_string(freePort()), "--platform=127.0.0.1:" + std::to_string(fleet.platform().port())});
+    CHECK(second.waitFor(20'000) == 3);
+    CHECK(fleet.status(0).value("vm", "") == vm.id);
+}
--- a/tests/standins/fakeplatform.cpp
+++ b/tests/standins/fakeplatform.cpp
@@ -103,7 +103,7 @@
 FakePlatform::FakePlatform(std::uint16_t port)
 {
     Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true);
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true, false);
     socket.listen(backlog);
     auto *params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(maxThreads);
--- a/tests/standins/fakeupstream.cpp
+++ b/tests/standins/fakeupstream.cpp
@@ -118,7 +118,7 @@
     , serviceMs_(settings_.serviceMs)
 {
     Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1", settings_.port), true);
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", settings_.port), true, false);
     socket.listen(backlog);
     auto *params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(maxThreads);
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdio>
 #include <iterator>
 #include <thread>
 
@@ -177,22 +178,33 @@
     entry.process = std::make_unique<ChildProcess>("wasabistaird", arguments, logs ? std::string(logs) + "/" + entry.vm.id + ".log" : "");
 }
 
+std::vector<std::size_t> Fleet::notReady(std::uint64_t generation) const
+{
+    std::vector<std::size_t> result;
+    for (std::size_t i = 0; i < vms_.size(); ++i) {
+        if (!vms_[i].process || !vms_[i].process->isRunning()) {
+            continue;
+        }
+        const nlohmann::json json = status(i);
+        if (!json.value("ready", false) || json.value("generation", std::uint64_t{0}) < generation) {
+            result.push_back(i);
+        }
+    }
+    return result;
+}
+
 bool Fleet::awaitReady(std::uint64_t generation, int milliseconds)
 {
-    return eventually(
-        [&] {
-            for (std::size_t i = 0; i < vms_.size(); ++i) {
-                if (!vms_[i].process || !vms_[i].process->isRunning()) {
-                    continue;
-                }
-                const nlohmann::json json = status(i);
-                if (!json.value("ready", false) || json.value("generation", std::uint64_t{0}) < generation) {
-                    return false;
-                }
-            }
-            return true;
-        },
-        milliseconds);
+    if (eventually([&] { return notReady(generation).empty(); }, milliseconds)) {
+        return true;
+    }
+    for (const std::size_t i : notReady(generation)) {
+        std::fprintf(
+            stderr, "%s is not ready with generation %llu: %s\n", vms_[i].vm.id.c_str(), static_cast<unsigned long long>(generation), status(i).dump().c_str());
+    }
+    const auto slots = Platform::tryStore([&] { return store_.get("wasabistair/slots/" + plan_.regions.front()); });
+    std::fprintf(stderr, "slots of %s: %s\n", plan_.regions.front().c_str(), slots ? slots.value->value.c_str() : "none");
+    return false;
 }
 
 nlohmann::json Fleet::status(std::size_t index) const
--- a/tests/standins/fleet.h
+++ b/tests/standins/fleet.h
@@ -59,6 +59,7 @@
     /// Publishes the list of VMs as the platform would show it.
     void showList(const std::vector<std::string> &without = {}, const std::vector<std::string> &leaving = {});
     /// Waits until every running VM says ready with at least @p generation; false after @p milliseconds.
+    /// Says on standard error what kept it.
     bool awaitReady(std::uint64_t generation, int milliseconds = 30'000);
     [[nodiscard]] nlohmann::json status(std::size_t index) const;
 
@@ -76,6 +77,7 @@
 
 private:
     [[nodiscard]] std::vector<Steering::Vm> upstreamVms() const;
+    [[nodiscard]] std::vector<std::size_t> notReady(std::uint64_t generation) const;
 
     const FleetPlan plan_;
     FakePlatform platform_;
--- a/tests/standins/ports.cpp
+++ b/tests/standins/ports.cpp
@@ -1,25 +1,78 @@
 #include "ports.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <memory>
 #include <mutex>
-#include <set>
+#include <vector>
 
 namespace Wasabistair::StandIns {
 
+namespace {
+
+// Below the range from which the system takes ports for outgoing connections: one of those may take a port
+// between the moment at which it was found free and that at which a process listens on it.
+constexpr int firstPort = 20'000;
+constexpr int endPort = 32'000;
+constexpr int blockSize = 100;
+
+std::unique_ptr<Poco::Net::ServerSocket> tryListen(int port)
+{
+    try {
+        auto socket = std::make_unique<Poco::Net::ServerSocket>();
+        // Without the last argument two processes could listen on the same port.
+        socket->bind(Poco::Net::SocketAddress("127.0.0.1", static_cast<std::uint16_t>(port)), true, false);
+        socket->listen();
+        return socket;
+    } catch (const Poco::Exception &) {
+        return nullptr;
+    }
+}
+
+/// Gives ports out of blocks that no other process has: a block belongs to whoever listens on its first port.
+class PortBlocks
+{
+public:
+    std::uint16_t next()
+    {
+        while (true) {
+            if (next_ % blockSize == 0) {
+                reserveBlock();
+            }
+            const int port = next_++;
+            if (tryListen(port)) {
+                return static_cast<std::uint16_t>(port);
+            }
+        }
+    }
+
+private:
+    void reserveBlock()
+    {
+        for (; next_ < endPort; next_ += blockSize) {
+            if (auto owned = tryListen(next_)) {
+                owned_.push_back(std::move(owned));
+                ++next_;
+                return;
+            }
+        }
+        throw Poco::RuntimeException("no ports left");
+    }
+
+    int next_ = firstPort;
+    std::vector<std::unique_ptr<Poco::Net::ServerSocket>> owned_;
+};
+
+} // namespace
+
 std::uint16_t freePort()
 {
     static std::mutex mutex;
-    static std::set<std::uint16_t> given;
+    static PortBlocks blocks;
     const std::lock_guard lock(mutex);
-    while (true) {
-        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-        const std::uint16_t port = socket.address().port();
-        if (given.insert(port).second) {
-            return port;
-        }
-    }
+    return blocks.next();
 }
 
 } // namespace Wasabistair::StandIns
