Work out what follows from the list once, not at every question

PeerTable searched the whole list for each VM, relays were chosen anew at every question, and the daemon copied the list ten times a second. Ruled out: the heartbeats themselves (2 us each at every size). Now the list is indexed, views of it are kept until list or suspects change, unavailable VMs are found once a tick (unavailableNodes(), a free function now), the list is shared, and events are searched by halves.

--- a/src/app/configurationfeed.cpp
+++ b/src/app/configurationfeed.cpp
@@ -108,8 +108,8 @@
 
 std::int64_t ConfigurationFeed::listStep()
 {
-    const bool direct = asksPlatform() || list().version == Platform::noVersion;
-    const Platform::Version known = list().version;
+    const bool direct = asksPlatform() || list()->version == Platform::noVersion;
+    const Platform::Version known = list()->version;
     const auto listed = Platform::tryStore([&] { return store_.vms(known); });
     if (!listed) {
         notePlatform(false);
@@ -122,7 +122,7 @@
 
 void ConfigurationFeed::listSeen(const Platform::ListDelta &delta)
 {
-    if (const auto next = Platform::applyDelta(list(), delta)) {
+    if (const auto next = Platform::applyDelta(*list(), delta)) {
         takeList(*next);
     }
 }
@@ -130,29 +130,29 @@
 Platform::ListDelta ConfigurationFeed::listDelta(Platform::Version known) const
 {
     const std::lock_guard lock(mutex_);
-    const auto earlier = std::find_if(earlierLists_.begin(), earlierLists_.end(), [known](const Platform::VmList &list) { return list.version == known; });
-    return Platform::deltaBetween(earlier == earlierLists_.end() ? Platform::VmList{} : *earlier, list_);
+    const auto earlier = std::find_if(earlierLists_.begin(), earlierLists_.end(), [known](const auto &list) { return list->version == known; });
+    return Platform::deltaBetween(earlier == earlierLists_.end() ? Platform::VmList{} : **earlier, *list_);
 }
 
 void ConfigurationFeed::takeList(const Platform::VmList &list)
 {
     {
         const std::lock_guard lock(mutex_);
-        if (list.version <= list_.version) {
+        if (list.version <= list_->version) {
             return;
         }
         earlierLists_.push_back(std::move(list_));
         if (earlierLists_.size() > maxEarlierLists) {
             earlierLists_.pop_front();
         }
-        list_ = list;
+        list_ = std::make_shared<const Platform::VmList>(list);
     }
     slot_.observeList(list);
     mesh_.setList(list);
     engine_.setList(list);
 }
 
-Platform::VmList ConfigurationFeed::list() const
+std::shared_ptr<const Platform::VmList> ConfigurationFeed::list() const
 {
     const std::lock_guard lock(mutex_);
     return list_;
@@ -162,7 +162,7 @@
 {
     const std::lock_guard lock(mutex_);
     const auto isEntry = [](const Steering::Vm &vm) { return vm.kind == Steering::VmKind::Entry; };
-    const std::int64_t count = std::count_if(list_.vms.begin(), list_.vms.end(), isEntry);
+    const std::int64_t count = std::count_if(list_->vms.begin(), list_->vms.end(), isEntry);
     return std::max(milliseconds, milliseconds * count / fleetUnit);
 }
 
@@ -199,9 +199,9 @@
     if (platformAsked_) {
         return true;
     }
-    const Platform::VmList known = list();
+    const std::shared_ptr<const Platform::VmList> known = list();
     const auto isEntry = [](const Steering::Vm &vm) { return vm.kind == Steering::VmKind::Entry; };
-    const auto listed = static_cast<std::size_t>(std::count_if(known.vms.begin(), known.vms.end(), isEntry));
+    const auto listed = static_cast<std::size_t>(std::count_if(known->vms.begin(), known->vms.end(), isEntry));
     const std::size_t others = listed > 0 ? listed - 1 : seeds_;
     // Ordinary VMs connect to their zone's relays only, which know what is in force elsewhere.
     const std::size_t needed = std::min(others / 2 + 1, mesh_.status().linksWanted > 0 ? mesh_.status().linksWanted : others / 2 + 1);
--- a/src/app/configurationfeed.h
+++ b/src/app/configurationfeed.h
@@ -51,7 +51,8 @@
     void listSeen(const Platform::ListDelta &delta);
     /// For peers whose list is older; see MeshHandlers::listDelta.
     [[nodiscard]] Platform::ListDelta listDelta(Platform::Version known) const;
-    [[nodiscard]] Platform::VmList list() const;
+    /// Never null; empty before the first list.
+    [[nodiscard]] std::shared_ptr<const Platform::VmList> list() const;
     /// @p milliseconds, lengthened in proportion to the fleet beyond fleetUnit entry VMs.
     [[nodiscard]] std::int64_t scaledByFleet(std::int64_t milliseconds) const;
     [[nodiscard]] bool platformReachable() const;
@@ -86,9 +87,9 @@
     Platform::Version headVersion_ = Platform::noVersion;
 
     mutable std::mutex mutex_;
-    Platform::VmList list_;
+    std::shared_ptr<const Platform::VmList> list_ = std::make_shared<const Platform::VmList>();
     // Earlier lists, newest last, so that peers get what changed instead of the whole.
-    std::deque<Platform::VmList> earlierLists_;
+    std::deque<std::shared_ptr<const Platform::VmList>> earlierLists_;
     std::optional<Nodes::GenerationId> candidate_;
     // History of the head as last read from the platform.
     Platform::Head head_;
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -163,8 +163,8 @@
 
     std::size_t rivals() const
     {
-        const Platform::VmList list = feed_.list();
-        return static_cast<std::size_t>(std::count_if(list.vms.begin(), list.vms.end(),
+        const std::shared_ptr<const Platform::VmList> list = feed_.list();
+        return static_cast<std::size_t>(std::count_if(list->vms.begin(), list->vms.end(),
             [this](const Steering::Vm &vm) { return vm.kind == Steering::VmKind::Entry && vm.region == settings_.region && vm.id != settings_.vm; }));
     }
 
@@ -202,7 +202,7 @@
             }
         }
         const bool due = !slot_.usable() || clock_.monotonic() - slotVerified_ >= feed_.scaledByFleet(slotVerifyMs);
-        if (due && slot_.refresh(feed_.list(), vmSlots)) {
+        if (due && slot_.refresh(*feed_.list(), vmSlots)) {
             slotVerified_ = clock_.monotonic();
             engine_.rebuild();
         }
--- a/src/libs/base/timeline.cpp
+++ b/src/libs/base/timeline.cpp
@@ -126,11 +126,10 @@
     if (found == events_.end()) {
         return result;
     }
-    for (const Event &event : found->second) {
-        if (event.sequence > sequence && result.size() < limit) {
-            result.push_back(event);
-        }
-    }
+    const auto isKnown = [sequence](const Event &event) { return event.sequence <= sequence; };
+    const auto first = std::partition_point(found->second.begin(), found->second.end(), isKnown);
+    const auto count = std::min(limit, static_cast<std::size_t>(found->second.end() - first));
+    result.assign(first, first + static_cast<std::ptrdiff_t>(count));
     return result;
 }
 
--- a/src/libs/nodes/mesh.cpp
+++ b/src/libs/nodes/mesh.cpp
@@ -1,5 +1,6 @@
 #include "mesh.h"
 
+#include "availability.h"
 #include "topology.h"
 
 #include <base/log.h>
@@ -268,6 +269,7 @@
 void Mesh::tick()
 {
     const std::lock_guard lock(mutex_);
+    unavailable_ = currentlyUnavailable();
     dropSilent();
     dialWanted();
     sendBeats(false);
@@ -291,10 +293,15 @@
         dialSeeds();
         return;
     }
-    for (const std::string &node : peers_.worthDialling()) {
-        const Vm *vm = peers_.find(node);
-        const bool linked = std::any_of(links_.begin(), links_.end(), [&](const auto &entry) { return entry.second.node == node; });
-        if (vm && !linked) {
+    std::set<std::string> linked;
+    for (const auto &[id, link] : links_) {
+        linked.insert(link.node);
+    }
+    // A copy: a failed dial may change what is worth dialling.
+    const std::set<std::string> nodes = peers_.worthDialling();
+    for (const std::string &node : nodes) {
+        const Vm *vm = linked.contains(node) ? nullptr : peers_.find(node);
+        if (vm) {
             dial(node, vm->host, vm->nodePort);
         }
     }
@@ -340,7 +347,7 @@
     const Vm *own = peers_.self();
     if (own && peers_.isOwnRelay(own->id)) {
         const bool sameZone = peers_.zoneOf(link.node) == own->zone;
-        for (const std::string &node : unavailableLocked()) {
+        for (const std::string &node : unavailable_) {
             if (beat.unavailable.size() < maxUnavailable && (sameZone || peers_.zoneOf(node) == own->zone)) {
                 beat.unavailable.push_back(node);
             }
@@ -408,46 +415,21 @@
     return std::nullopt;
 }
 
-std::set<std::string> Mesh::unavailableLocked() const
+std::set<std::string> Mesh::currentlyUnavailable() const
 {
-    std::set<std::string> result = peers_.suspects();
-    std::set<std::string> heardAvailable;
+    std::vector<HeardPeer> heard;
     for (const auto &[id, link] : links_) {
-        if (!link.greeted || !link.beat) {
-            continue;
-        }
-        for (const std::string &node : link.beat->unavailable) {
-            if (peers_.mayTell(link.node, node)) {
-                result.insert(node);
-            }
+        if (link.greeted) {
+            heard.push_back({link.node, link.beat ? &*link.beat : nullptr});
         }
-        if (link.beat->available) {
-            heardAvailable.insert(link.node);
-        } else {
-            result.insert(link.node);
-        }
-    }
-    const auto relays = peers_.ownRelaysByList();
-    if (std::find(relays.begin(), relays.end(), settings_.self) != relays.end()) {
-        // Members of the own zone connect to its relays; one that does not is not there.
-        for (const std::string &node : peers_.zoneMembersListedFor(joinGraceMs, clock_.monotonic())) {
-            if (!linkTo(node)) {
-                result.insert(node);
-            }
-        }
-    }
-    for (const std::string &node : heardAvailable) {
-        result.erase(node);
     }
-    result.erase(settings_.self);
-    return result;
+    return unavailableNodes(peers_, settings_.self, heard, clock_.monotonic());
 }
 
 std::vector<std::string> Mesh::unavailable() const
 {
     const std::lock_guard lock(mutex_);
-    const std::set<std::string> nodes = unavailableLocked();
-    return {nodes.begin(), nodes.end()};
+    return {unavailable_.begin(), unavailable_.end()};
 }
 
 bool Mesh::isRelay() const
@@ -465,7 +447,7 @@
 bool Mesh::hearsRelay() const
 {
     const std::lock_guard lock(mutex_);
-    const auto relays = peers_.ownRelays();
+    const auto &relays = peers_.ownRelays();
     const Base::MonotonicMs now = clock_.monotonic();
     return std::any_of(links_.begin(), links_.end(), [&](const auto &entry) {
         const Link &link = entry.second;
--- a/src/libs/nodes/mesh.h
+++ b/src/libs/nodes/mesh.h
@@ -58,8 +58,6 @@
     static constexpr Base::MonotonicMs heartbeatMs = 3'000;
     /// A peer that was silent for this long is suspected and its connection replaced.
     static constexpr Base::MonotonicMs suspectAfterMs = 10'000;
-    /// A newly listed VM has this long to connect before it counts as unavailable.
-    static constexpr Base::MonotonicMs joinGraceMs = 12'000;
 
     Mesh(Transport &transport, const Base::Clock &clock, Base::HybridClock &hybridClock, Base::Timeline &timeline, MeshSettings settings);
 
@@ -116,7 +114,7 @@
     void handle(ConnectionId id, Link &link, const EventBatch &batch, Calls &calls);
 
     [[nodiscard]] bool isListed(const std::string &node, const std::string &remoteHost) const;
-    [[nodiscard]] std::set<std::string> unavailableLocked() const;
+    [[nodiscard]] std::set<std::string> currentlyUnavailable() const;
     [[nodiscard]] std::optional<ConnectionId> linkTo(const std::string &node) const;
     void keepOneLink(ConnectionId id);
     void dialWanted();
@@ -138,6 +136,8 @@
     std::condition_variable partArrived_;
     std::map<ConnectionId, Link> links_;
     PeerTable peers_;
+    /// As of the last tick.
+    std::set<std::string> unavailable_;
     std::map<std::string, std::string> parts_;
     std::set<std::string> missingParts_;
     std::uint64_t generation_ = 0;
--- a/src/libs/nodes/peertable.cpp
+++ b/src/libs/nodes/peertable.cpp
@@ -2,8 +2,6 @@
 
 #include "topology.h"
 
-#include <platform/vmlist.h>
-
 #include <algorithm>
 
 namespace Wasabistair::Nodes {
@@ -27,6 +25,11 @@
         return false;
     }
     list_ = list;
+    index_.clear();
+    for (const Vm &vm : list_.vms) {
+        index_.emplace(vm.id, &vm);
+    }
+    views_.reset();
     for (const Vm &vm : list_.vms) {
         if (vm.kind == VmKind::Entry) {
             listedSince_.try_emplace(vm.id, now);
@@ -44,7 +47,8 @@
 
 const Vm *PeerTable::find(const std::string &node) const
 {
-    return Platform::findVm(list_, node);
+    const auto found = index_.find(node);
+    return found == index_.end() ? nullptr : found->second;
 }
 
 const Vm *PeerTable::self() const
@@ -52,10 +56,11 @@
     return find(self_);
 }
 
-std::string PeerTable::zoneOf(const std::string &node) const
+const std::string &PeerTable::zoneOf(const std::string &node) const
 {
+    static const std::string none;
     const Vm *vm = find(node);
-    return vm ? vm->zone : std::string();
+    return vm ? vm->zone : none;
 }
 
 bool PeerTable::isListed(const std::string &node, const std::string &host) const
@@ -64,48 +69,68 @@
     return vm && vm->kind == VmKind::Entry && vm->host == host;
 }
 
-std::set<std::string> PeerTable::suspects() const
+PeerTable::Views PeerTable::derived() const
 {
-    std::set<std::string> suspects;
+    Views views;
     for (const auto &[node, dial] : dials_) {
         if (dial.failures >= failuresToSuspect) {
-            suspects.insert(node);
+            views.suspects.insert(node);
+        }
+    }
+    const Vm *own = self();
+    if (!own) {
+        return views;
+    }
+    views.wanted = desiredPeers(list_.vms, *own, views.suspects);
+    // Suspected peers are tried on, so that they are found when they come back.
+    views.worthDialling = desiredPeers(list_.vms, *own, {});
+    views.worthDialling.insert(views.wanted.begin(), views.wanted.end());
+    views.ownRelays = relaysOf(list_.vms, own->zone, views.suspects);
+    views.ownRelaysByList = relaysOf(list_.vms, own->zone, {});
+    for (const auto &[node, since] : listedSince_) {
+        if (zoneOf(node) == own->zone) {
+            views.zoneMembers.push_back(node);
         }
     }
-    return suspects;
+    return views;
 }
 
-std::set<std::string> PeerTable::wanted() const
+const PeerTable::Views &PeerTable::views() const
 {
-    const Vm *own = self();
-    return own ? desiredPeers(list_.vms, *own, suspects()) : std::set<std::string>();
+    if (!views_) {
+        views_ = derived();
+    }
+    return *views_;
 }
 
-std::set<std::string> PeerTable::worthDialling() const
+const std::set<std::string> &PeerTable::suspects() const
 {
-    std::set<std::string> nodes = wanted();
-    if (const Vm *own = self()) {
-        // Suspected peers are tried on, so that they are found when they come back.
-        nodes.merge(desiredPeers(list_.vms, *own, {}));
-    }
-    return nodes;
+    return views().suspects;
 }
 
-std::vector<std::string> PeerTable::ownRelays() const
+const std::set<std::string> &PeerTable::wanted() const
 {
-    const Vm *own = self();
-    return own ? relaysOf(list_.vms, own->zone, suspects()) : std::vector<std::string>();
+    return views().wanted;
 }
 
-std::vector<std::string> PeerTable::ownRelaysByList() const
+const std::set<std::string> &PeerTable::worthDialling() const
 {
-    const Vm *own = self();
-    return own ? relaysOf(list_.vms, own->zone, {}) : std::vector<std::string>();
+    return views().worthDialling;
+}
+
+const std::vector<std::string> &PeerTable::ownRelays() const
+{
+    return views().ownRelays;
+}
+
+const std::vector<std::string> &PeerTable::ownRelaysByList() const
+{
+    return views().ownRelaysByList;
 }
 
 bool PeerTable::isOwnRelay(const std::string &node) const
 {
-    const auto relays = ownRelays();
+    const std::vector<std::string> &relays = ownRelays();
     return std::find(relays.begin(), relays.end(), node) != relays.end();
 }
 
@@ -123,10 +148,9 @@
 
 std::vector<std::string> PeerTable::zoneMembersListedFor(Base::MonotonicMs milliseconds, Base::MonotonicMs now) const
 {
-    const Vm *own = self();
     std::vector<std::string> members;
-    for (const auto &[node, since] : listedSince_) {
-        if (own && zoneOf(node) == own->zone && now - since >= milliseconds) {
+    for (const std::string &node : views().zoneMembers) {
+        if (now - listedSince_.at(node) >= milliseconds) {
             members.push_back(node);
         }
     }
@@ -143,25 +167,35 @@
     return true;
 }
 
+void PeerTable::setDial(const std::string &key, const Dial &dial)
+{
+    Dial &present = dials_[key];
+    const bool wasSuspect = present.failures >= failuresToSuspect;
+    if (wasSuspect != (dial.failures >= failuresToSuspect)) {
+        views_.reset();
+    }
+    present = dial;
+}
+
 void PeerTable::dialFailed(const std::string &key, Base::MonotonicMs now)
 {
-    Dial &dial = dials_[key];
-    ++dial.failures;
-    dial.nextTry = now + std::min(maxRedialMs, firstRedialMs << std::min(dial.failures, maxBackoffDoublings));
+    const int failures = dials_[key].failures + 1;
+    setDial(key, {now + std::min(maxRedialMs, firstRedialMs << std::min(failures, maxBackoffDoublings)), failures});
 }
 
 void PeerTable::connectionLost(const std::string &key, Base::MonotonicMs now)
 {
-    dials_[key] = {now + firstRedialMs, 1};
+    setDial(key, {now + firstRedialMs, 1});
 }
 
 void PeerTable::connected(const std::string &key)
 {
-    dials_[key] = {};
+    setDial(key, {});
 }
 
 void PeerTable::forgetDial(const std::string &key)
 {
+    setDial(key, {});
     dials_.erase(key);
 }
 
