Hedge slow idempotent requests within the retry budget

Cause: a read on a server that hangs or is slow waited for it to its deadline; other servers were idle. Weighed: nothing; a quantile learnt by each VM (lost at every restart, not checkable by operators); a declared hedgeAfterMs, taken. Non-idempotent requests never hedge.

New in tst_headroom: a region dead while the others' caches are cold; no server exceeds slots and queue.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -261,6 +261,8 @@
         const auto counter = [&registry](const std::string &name, const std::string &help, std::uint64_t value) {
             prometheus::BuildCounter().Name("wasabistair_" + name).Help(help).Register(registry).Add({}).Increment(static_cast<double>(value));
         };
+        counter("retries_total", "Further tries of requests after a failed one.", forwarder_.tries().retries);
+        counter("hedges_total", "Second tries beside a first that was slow to answer.", forwarder_.tries().hedges);
         counter("probes_total", "Health probes sent to upstreams.", probes_);
         counter("refused_messages_total", "Messages and connections of other processes that were refused.", links.refusedMessages);
         counter("node_bytes_sent_total", "Bytes sent to other processes of the system.", transport_.bytesSent());
--- a/src/libs/steering/objects.cpp
+++ b/src/libs/steering/objects.cpp
@@ -40,7 +40,7 @@
 {
     Service service{text(json, "name"), texts(json, "hosts"), text(json, "pathPrefix"), {}, number(json, "requiredSlots"), number(json, "deadlineMs"),
         number(json, "progressTimeoutMs"), number(json, "queueWaitMs"), number(json, "maxAttempts"), number(json, "retryPercent"), number(json, "maxBodyBytes"),
-        number(json, "lookupMaxAgeSeconds"), number(json, "cancelMs")};
+        number(json, "lookupMaxAgeSeconds"), number(json, "cancelMs"), number(json, "hedgeAfterMs")};
     for (const Json &operation : json.value("operations", Json::array())) {
         service.operations.push_back({text(operation, "method"), text(operation, "pathPrefix"), operation.value("idempotent", false)});
     }
@@ -56,7 +56,8 @@
     return {{"kind", "Service"}, {"name", service.name}, {"hosts", service.hosts}, {"pathPrefix", service.pathPrefix}, {"operations", operations},
         {"requiredSlots", service.requiredSlots}, {"deadlineMs", service.deadlineMs}, {"progressTimeoutMs", service.progressTimeoutMs},
         {"queueWaitMs", service.queueWaitMs}, {"maxAttempts", service.maxAttempts}, {"retryPercent", service.retryPercent},
-        {"maxBodyBytes", service.maxBodyBytes}, {"lookupMaxAgeSeconds", service.lookupMaxAgeSeconds}, {"cancelMs", service.cancelMs}};
+        {"maxBodyBytes", service.maxBodyBytes}, {"lookupMaxAgeSeconds", service.lookupMaxAgeSeconds}, {"cancelMs", service.cancelMs},
+        {"hedgeAfterMs", service.hedgeAfterMs}};
 }
 
 Place readPlace(const Json &json)
--- a/src/libs/steering/objects.h
+++ b/src/libs/steering/objects.h
@@ -41,6 +41,7 @@
     std::int64_t maxBodyBytes = 0;
     std::int64_t lookupMaxAgeSeconds = 0;
     std::int64_t cancelMs = 0;
+    std::int64_t hedgeAfterMs = 0;
 
     auto operator<=>(const Service &) const = default;
 };
--- a/src/libs/steering/schema.cpp
+++ b/src/libs/steering/schema.cpp
@@ -77,7 +77,9 @@
             integer("maxBodyBytes", 0, maxBody, 64 << 20, "bytes", "Largest request body."),
             integer("lookupMaxAgeSeconds", 1, 300, 5, "s", "How long callers may keep a look-up answer."),
             integer("cancelMs", 0, maxDeadlineMs, 500, "ms",
-                "Longest time in which an upstream ends a request whose connection was closed; its slot counts as taken until then.")}};
+                "Longest time in which an upstream ends a request whose connection was closed; its slot counts as taken until then."),
+            integer("hedgeAfterMs", 0, maxDeadlineMs, 0, "ms",
+                "Wait for an answer to an idempotent request before a second server is asked as well, within retryPercent; 0 for never.")}};
 }
 
 KindSpec placeKind()
--- a/src/libs/upstreams/exchange.cpp
+++ b/src/libs/upstreams/exchange.cpp
@@ -78,10 +78,9 @@
     return static_cast<int>(std::clamp<std::int64_t>(remainingMs(), 1, limits_.progressTimeoutMs));
 }
 
-TryResult Exchange::run(const OutgoingRequest &request, RequestBody &body)
+TryResult Exchange::closedUnlessGood(TryResult result)
 {
-    const TryResult result = send(request, body);
-    if (result != TryResult::Answered && result != TryResult::Refused) {
+    if (result != TryResult::Pending && result != TryResult::Answered && result != TryResult::Refused) {
         // POCO's chunked stream writes a valid ending when it is destroyed; a closed socket prevents that.
         session_.abandon();
     }
@@ -90,6 +89,55 @@
 
 TryResult Exchange::send(const OutgoingRequest &request, RequestBody &body)
 {
+    try {
+        return closedUnlessGood(sendAll(request, body));
+    } catch (const Poco::Exception &) {
+        return closedUnlessGood(TryResult::NoAnswer);
+    }
+}
+
+TryResult Exchange::await(std::int64_t waitMs)
+{
+    try {
+        return closedUnlessGood(awaitStep(waitMs));
+    } catch (const Poco::Exception &) {
+        return closedUnlessGood(TryResult::NoAnswer);
+    }
+}
+
+TryResult Exchange::readAnswer()
+{
+    try {
+        return closedUnlessGood(readHead());
+    } catch (const Poco::Exception &) {
+        return closedUnlessGood(TryResult::NoAnswer);
+    }
+}
+
+TryResult Exchange::finish()
+{
+    const TryResult awaited = await(INT64_MAX);
+    return awaited == TryResult::Answered ? readAnswer() : awaited;
+}
+
+void Exchange::awaitAny(const std::vector<Exchange *> &exchanges, std::int64_t waitMs)
+{
+    Poco::Net::Socket::SocketList readable;
+    for (const Exchange *exchange : exchanges) {
+        readable.push_back(exchange->session_.socket());
+    }
+    Poco::Net::Socket::SocketList none;
+    try {
+        Poco::Net::Socket::select(readable, none, none, Poco::Timespan(waitMs * Poco::Timespan::MILLISECONDS));
+    } catch (const Poco::Exception &) {
+        // Whoever awaits the broken one is told.
+        return;
+    }
+}
+
+TryResult Exchange::sendAll(const OutgoingRequest &request, RequestBody &body)
+{
+    method_ = request.method;
     HTTPRequest head(request.method, request.target, HTTPRequest::HTTP_1_1);
     for (const auto &[name, value] : request.headers) {
         head.add(name, value);
@@ -101,17 +149,10 @@
         head.setContentLength64(body.framing() == Http::Framing::FixedLength ? body.length() : 0);
     }
     session_.setTimeouts(stepTimeoutMs(), stepTimeoutMs());
-    try {
-        std::ostream &out = session_.sendRequest(head);
-        const TryResult sent = sendBody(out, body);
-        if (sent != TryResult::Answered) {
-            return sent;
-        }
-        const TryResult waited = awaitAnswer();
-        return waited == TryResult::Answered ? readHead(request.method) : waited;
-    } catch (const Poco::Exception &) {
-        return TryResult::NoAnswer;
-    }
+    std::ostream &out = session_.sendRequest(head);
+    const TryResult sent = sendBody(out, body);
+    sentAt_ = clock_.monotonic();
+    return sent;
 }
 
 TryResult Exchange::sendBody(std::ostream &out, RequestBody &body)
@@ -132,7 +173,7 @@
         const bool answersEarly = body.state() == Http::BodyState::More && session_.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
         if (!out.good() || answersEarly) {
             // Reading the answer would end a chunked stream with a valid last chunk, as if it were whole.
-            return body.framing() == Http::Framing::Chunked ? TryResult::NoAnswer : TryResult::Answered;
+            return body.framing() == Http::Framing::Chunked ? TryResult::NoAnswer : TryResult::Pending;
         }
     }
     if (body.state() == Http::BodyState::Cut) {
@@ -141,10 +182,10 @@
     bodySent_ = out.good();
     // Ends the stream; @p out must not be used from here on.
     session_.flushRequest();
-    return TryResult::Answered;
+    return TryResult::Pending;
 }
 
-TryResult Exchange::awaitAnswer()
+TryResult Exchange::awaitStep(std::int64_t waitMs)
 {
     const Base::MonotonicMs start = clock_.monotonic();
     while (true) {
@@ -152,27 +193,31 @@
         if (left <= 0) {
             return TryResult::DeadlinePassed;
         }
-        if (clock_.monotonic() - start >= limits_.firstByteTimeoutMs) {
+        if (clock_.monotonic() - sentAt_ >= limits_.firstByteTimeoutMs) {
             return TryResult::NoAnswer;
         }
-        const auto slice = std::min<std::int64_t>(left, callerCheckIntervalMs);
+        const std::int64_t waitLeft = waitMs - (clock_.monotonic() - start);
+        const auto slice = std::clamp<std::int64_t>(std::min(left, waitLeft), 0, callerCheckIntervalMs);
         if (session_.unreadBytes() > 0 || session_.socket().poll(Poco::Timespan(slice * Poco::Timespan::MILLISECONDS), Poco::Net::Socket::SELECT_READ)) {
             return TryResult::Answered;
         }
         if (hooks_.callerGone && hooks_.callerGone()) {
             return TryResult::CallerGone;
         }
+        if (waitLeft <= 0) {
+            return TryResult::Pending;
+        }
     }
 }
 
-TryResult Exchange::readHead(const std::string &method)
+TryResult Exchange::readHead()
 {
     session_.setTimeouts(stepTimeoutMs(), stepTimeoutMs());
     std::istream &in = session_.receiveResponse(response_);
     if (response_.getStatus() < firstFinalStatus || isAmbiguous(response_)) {
         return TryResult::NoAnswer;
     }
-    const Http::Framing framing = answerFraming(method, response_);
+    const Http::Framing framing = answerFraming(method_, response_);
     const std::int64_t length = framing == Http::Framing::FixedLength ? response_.getContentLength64() : 0;
     answerBody_ = std::make_unique<Http::BodyReader>(in, session_.recording(), framing, length, [this] { return session_.unreadBytes(); });
     const bool refused = isRefusalStatus(response_.getStatus()) && response_.get(upstreamRunHeader, "") == "refused";
--- a/src/libs/upstreams/exchange.h
+++ b/src/libs/upstreams/exchange.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Wasabistair::Upstreams {
 
@@ -47,6 +48,8 @@
     CallerGone,
     /// The deadline passed while waiting: outcome unknown.
     DeadlinePassed,
+    /// Sent whole (or the server answers early); the answer is still to come.
+    Pending,
 };
 
 /// Limits of one try; times are monotonic milliseconds.
@@ -65,13 +68,23 @@
     std::function<void(std::size_t)> paceUpload;
 };
 
-/// Sends one request over one session and reads the head of the answer.
+/// Sends one request over one session and reads the head of the answer. Anything but Pending, Answered and
+/// Refused closes the connection, which cancels the request.
 class Exchange
 {
 public:
     Exchange(UpstreamSession &session, const Base::Clock &clock, TryLimits limits, TryHooks hooks);
 
-    TryResult run(const OutgoingRequest &request, RequestBody &body);
+    /// Sends everything: Pending, or why it could not be sent.
+    TryResult send(const OutgoingRequest &request, RequestBody &body);
+    /// Waits up to @p waitMs for the answer's first byte: Answered once it can be read, Pending if it can't.
+    TryResult await(std::int64_t waitMs);
+    /// Reads the head of the answer after await(): Answered, Refused or NoAnswer.
+    TryResult readAnswer();
+    /// Waits for the answer as long as the limits allow and reads its head.
+    TryResult finish();
+    /// Waits up to @p waitMs until one of @p exchanges, all Pending, may have something to read.
+    static void awaitAny(const std::vector<Exchange *> &exchanges, std::int64_t waitMs);
     [[nodiscard]] const Poco::Net::HTTPResponse &response() const;
     /// Body of the answer; only after Answered or Refused.
     [[nodiscard]] Http::BodyReader &answerBody();
@@ -85,10 +98,11 @@
 private:
     [[nodiscard]] std::int64_t remainingMs() const;
     [[nodiscard]] int stepTimeoutMs() const;
-    TryResult send(const OutgoingRequest &request, RequestBody &body);
+    TryResult sendAll(const OutgoingRequest &request, RequestBody &body);
     TryResult sendBody(std::ostream &out, RequestBody &body);
-    TryResult awaitAnswer();
-    TryResult readHead(const std::string &method);
+    TryResult awaitStep(std::int64_t waitMs);
+    TryResult readHead();
+    TryResult closedUnlessGood(TryResult result);
 
     UpstreamSession &session_;
     const Base::Clock &clock_;
@@ -96,6 +110,8 @@
     const TryHooks hooks_;
     Poco::Net::HTTPResponse response_;
     std::unique_ptr<Http::BodyReader> answerBody_;
+    std::string method_;
+    Base::MonotonicMs sentAt_ = 0;
     bool bodySent_ = false;
 };
 
--- a/tests/auto/faults/tst_headroom.cpp
+++ b/tests/auto/faults/tst_headroom.cpp
@@ -107,6 +107,45 @@
     CHECK(countResults(records)["answered"] > 500);
 }
 
+TEST_CASE_FIXTURE(HeadroomFixture, "overload_regionDeadAndTheOthersCold_survivorsStayWithinSlotsAndQueue")
+{
+    start();
+    std::vector<CallerRecord> records;
+    std::thread callers([&] { records = runLoad(overload(9'000, 100)); });
+    sleepMs(1'000);
+    for (EntryVm &entry : fleet.vms()) {
+        if (entry.vm.region == "leinster") {
+            entry.process->kill();
+        }
+    }
+    for (std::size_t i = 0; i < fleet.upstreams().size(); ++i) {
+        FakeUpstream &upstream = *fleet.upstreams()[i];
+        if (i < 2) {
+            upstream.setSilent(true);
+        } else {
+            // Caches know nothing of the other region's callers: ten times the work, less as they warm.
+            upstream.setServiceMs(200);
+        }
+    }
+    for (const double serviceMs : {100, 50, 20}) {
+        sleepMs(2'000);
+        for (std::size_t i = 2; i < fleet.upstreams().size(); ++i) {
+            fleet.upstreams()[i]->setServiceMs(serviceMs);
+        }
+    }
+    callers.join();
+    for (std::size_t i = 0; i < 2; ++i) {
+        fleet.upstreams()[i]->setSilent(false);
+    }
+    checkNoServerOverloaded();
+    const OracleFindings findings = judge(records, fleet.runsById());
+    INFO(describe(findings));
+    CHECK(findings.clean());
+    auto counts = countResults(records);
+    CHECK(counts["answered"] > 500);
+    CHECK(counts["not-run"] > 0);
+}
+
 TEST_CASE_FIXTURE(HeadroomFixture, "overload_whileVmsArePausedAndReplaced_noServerExceedsSlotsAndQueue")
 {
     start();
