--- a/tests/benchmarks/bench_deployments.cpp
+++ b/benchmarks/bench_deployments.cpp
@@ -153,7 +153,8 @@
         const std::string region = service_.regions.front();
         const std::int64_t start = Base::SystemClock().wall() + stopLeadMs + 1'000;
         for (const char *server : {"-server-0", "-server-1"}) {
-            objects_.plannedStops.push_back({"stop" + std::string(server), objects_.places.front().name, "", region + server, start, start + 3'600'000});
+            objects_.plannedStops.push_back(
+                {"stop" + std::string(server), std::string(service_.name) + "-" + region, "", region + server, start, start + 3'600'000});
         }
         generation_ = fleet_.publish(objects_);
         const Operators::Figures before = reviewOf(fleet_);
--- a/tests/benchmarks/bench_path.cpp
+++ b/benchmarks/bench_path.cpp
@@ -15,9 +15,9 @@
 
 constexpr double usPerMs = 1'000;
 
-double ms(const std::vector<CallerRecord> &records, CallerResult result, double q)
+double ms(const std::vector<CallerRecord> &records, CallerResult result, double q, LatencyFrom from = LatencyFrom::Schedule)
 {
-    return static_cast<double>(latencyQuantile(records, result, q)) / usPerMs;
+    return static_cast<double>(latencyQuantile(records, result, q, from)) / usPerMs;
 }
 
 void startFleet(Fleet &fleet, const Steering::ObjectSet &objects)
@@ -120,7 +120,45 @@
                     "p50 %.2f p99 %.2f ms, shed by servers %llu, %s\n",
             load.callers, static_cast<double>(records.size()) / 5 / capacity, counts["answered"],
             100.0 * static_cast<double>(counts["answered"]) / static_cast<double>(atCapacity), ms(records, CallerResult::Answered, 0.99), counts["not-run"],
-            ms(records, CallerResult::NotRun, 0.5), ms(records, CallerResult::NotRun, 0.99), static_cast<unsigned long long>(shed), describe(findings).c_str());
+            ms(records, CallerResult::NotRun, 0.5, LatencyFrom::Sending), ms(records, CallerResult::NotRun, 0.99, LatencyFrom::Sending),
+            static_cast<unsigned long long>(shed), describe(findings).c_str());
+    }
+}
+
+/// Reads while one of six servers is twenty times slower than the others, without and with hedges.
+void hedges()
+{
+    for (const std::int64_t hedgeAfterMs : {0, 10, 20}) {
+        FleetPlan plan;
+        plan.regions = {"leinster"};
+        plan.serversPerRegion = 6;
+        plan.slots = 8;
+        plan.queue = 8;
+        plan.serviceMs = 5;
+        Fleet fleet(plan);
+        Steering::ObjectSet objects = fleet.objects();
+        objects.services[0].hedgeAfterMs = hedgeAfterMs;
+        startFleet(fleet, objects);
+        fleet.upstreams()[0]->setServiceMs(100);
+        LoadPlan load;
+        load.entries = fleet.entries();
+        load.host = plan.host;
+        load.callers = 60;
+        load.durationMs = 5'000;
+        // Six servers with 8 slots at 5 ms could do 9600 a second.
+        load.ratePerSecond = 1'000;
+        const auto records = runLoad(load);
+        std::uint64_t ran = 0;
+        std::uint64_t shed = 0;
+        for (const auto &upstream : fleet.upstreams()) {
+            ran += upstream->statistics().ran;
+            shed += upstream->statistics().shed;
+        }
+        auto counts = countResults(records);
+        std::printf("hedge after %lld ms: p50 %.1f p95 %.1f p99 %.1f ms, answered %zu of %zu, ran %.3f times each, shed %llu\n",
+            static_cast<long long>(hedgeAfterMs), ms(records, CallerResult::Answered, 0.5), ms(records, CallerResult::Answered, 0.95),
+            ms(records, CallerResult::Answered, 0.99), counts["answered"], records.size(), static_cast<double>(ran) / static_cast<double>(records.size()),
+            static_cast<unsigned long long>(shed));
     }
 }
 
@@ -140,5 +178,8 @@
     if (wanted("overload")) {
         overload();
     }
+    if (wanted("hedges")) {
+        hedges();
+    }
     return 0;
 }
--- a/tests/standins/callerload.cpp
+++ b/tests/standins/callerload.cpp
@@ -194,7 +194,7 @@
                 }
                 own.push_back(client.call(request));
                 own.back().body.clear();
-                own.back().latencyUs += lateUs;
+                own.back().lateUs = lateUs;
                 schedule.pause(own.back().result);
             }
             const std::lock_guard lock(mutex);
@@ -207,12 +207,12 @@
     return all;
 }
 
-std::int64_t latencyQuantile(const std::vector<CallerRecord> &records, CallerResult result, double q)
+std::int64_t latencyQuantile(const std::vector<CallerRecord> &records, CallerResult result, double q, LatencyFrom from)
 {
     std::vector<std::int64_t> latencies;
     for (const CallerRecord &record : records) {
         if (record.result == result) {
-            latencies.push_back(record.latencyUs);
+            latencies.push_back(record.latencyUs + (from == LatencyFrom::Schedule ? record.lateUs : 0));
         }
     }
     if (latencies.empty()) {
--- a/tests/standins/callerload.h
+++ b/tests/standins/callerload.h
@@ -48,7 +48,10 @@
     std::string server;
     std::string problem;
     std::string body;
+    /// From sending to the end of the answer.
     std::int64_t latencyUs = 0;
+    /// From the time at which an open loop had it begin to its sending.
+    std::int64_t lateUs = 0;
 };
 
 /// Keeps one connection to one entry VM.
@@ -75,7 +78,7 @@
     /// Each caller waits this long between requests.
     int pauseMs = 0;
     /// All callers together begin so many requests a second, at fixed times whatever came of earlier ones
-    /// (open loop), and latency counts from those times. 0: each caller sends as soon as it was answered.
+    /// (open loop). 0: each caller sends as soon as it was answered.
     double ratePerSecond = 0;
     /// Share of POST requests, in percent.
     int postPercent = 0;
@@ -87,8 +90,15 @@
 
 [[nodiscard]] std::vector<CallerRecord> runLoad(const LoadPlan &plan);
 
-/// Latency quantile in microseconds over answered records.
-[[nodiscard]] std::int64_t latencyQuantile(const std::vector<CallerRecord> &records, CallerResult result, double q);
+enum class LatencyFrom {
+    /// Time at which the caller was to begin: what a caller sees.
+    Schedule,
+    /// Time at which it sent: what the system took.
+    Sending,
+};
+
+/// Latency quantile in microseconds over the records with @p result.
+[[nodiscard]] std::int64_t latencyQuantile(const std::vector<CallerRecord> &records, CallerResult result, double q, LatencyFrom from = LatencyFrom::Schedule);
 [[nodiscard]] std::map<std::string, std::size_t> countResults(const std::vector<CallerRecord> &records);
 
 } // namespace Wasabistair::StandIns
