--- a/scripts/measure-capacity.sh
+++ b/scripts/measure-capacity.sh
@@ -9,6 +9,7 @@
 trap 'rm -rf "$out"' EXIT
 build/bin/bench_fleet "${@:-2 4 17 33 50}" 2>/dev/null | tee "$out/fleet"
 build/bin/bench_blocks 2>/dev/null | tee "$out/blocks"
+build/bin/bench_mesh 2>/dev/null
 fit() { # label; reads "x y" lines
     awk -v label="$1" '{ n++; sx += $1; sy += $2; sxx += $1 * $1; sxy += $1 * $2 }
         END { if (n > 1) { b = (n * sxy - sx * sy) / (n * sxx - sx * sx); printf "slope: %s = %.4g + %.4g * x (%d sizes)\n", label, (sy - b * sx) / n, b, n } }'
