Let a refusal reach a caller whose input was not read to its end

Seen: tst_callers once failed on "header without an end" beside three other targets (no answer instead of 431). Cause: the connection was closed with bytes unread, and the reset that follows discards the answer on its way.

--- a/src/libs/callers/callerconnection.cpp
+++ b/src/libs/callers/callerconnection.cpp
@@ -5,12 +5,16 @@
 #include <Poco/Net/NetException.h>
 
 #include <algorithm>
+#include <array>
 
 namespace Wasabistair::Callers {
 
 namespace {
 
 constexpr std::int64_t stopCheckMs = 200;
+constexpr std::int64_t lingerMs = 1'000;
+constexpr std::size_t lingerBytes = 1 << 20;
+constexpr std::size_t discardBytes = 16 * 1024;
 /// ": " and the line end of a field; two spaces and the line end of the request line are as many.
 constexpr std::size_t fieldOverhead = 4;
 
@@ -94,6 +98,7 @@
     } catch (const Poco::Exception &) {
         const bool tooLarge = recording.isReceiveLimitReached();
         refuseUnread(session, tooLarge ? ProblemKind::HeaderTooLarge : ProblemKind::MalformedRequest);
+        lingerClose();
         return false;
     }
     recording.setReceiveDeadline(0);
@@ -104,6 +109,7 @@
         request->setKeepAlive(false);
         CallerExchange exchange(*request, response, recording, clock_, [&session] { return session.unread(); });
         exchange.answer(Problem{*problem, RunState::NotRun});
+        lingerClose();
         return false;
     }
     CallerExchange exchange(*request, response, recording, clock_, [&session] { return session.unread(); });
@@ -137,4 +143,15 @@
     response.send() << body << std::flush;
 }
 
+void CallerConnection::lingerClose()
+{
+    // Closing with bytes unread resets the connection, and the reset discards the answer on its way.
+    auto &recording = static_cast<Http::RecordingSocketImpl &>(*socket().impl());
+    recording.setReceiveLimit(lingerBytes);
+    recording.setReceiveDeadline(clock_.monotonic() + lingerMs);
+    socket().shutdownSend();
+    std::array<char, discardBytes> buffer;
+    while (socket().receiveBytes(buffer.data(), static_cast<int>(buffer.size())) > 0) {}
+}
+
 } // namespace Wasabistair::Callers
--- a/src/libs/callers/callerconnection.h
+++ b/src/libs/callers/callerconnection.h
@@ -40,6 +40,8 @@
     [[nodiscard]] bool serveOne(Session &session);
     [[nodiscard]] std::optional<ProblemKind> check(const Poco::Net::HTTPServerRequestImpl &request) const;
     void refuseUnread(Session &session, ProblemKind kind);
+    /// Ends a connection whose input was not read to its end, so that the answer reaches the caller.
+    void lingerClose();
 
     const CallerHandler &handler_;
     const CallerLimits &limits_;
--- a/tests/auto/callers/tst_malformed.cpp
+++ b/tests/auto/callers/tst_malformed.cpp
@@ -9,7 +9,10 @@
 
 #include <rapidcheck.h>
 
+#include <atomic>
 #include <csignal>
+#include <thread>
+#include <vector>
 
 using namespace Wasabistair;
 using namespace Wasabistair::StandIns;
@@ -182,6 +185,24 @@
     CHECK(exchange(start + "X" + rest + "\r\n", false).starts_with("HTTP/1.1 431"));
 }
 
+TEST_CASE_FIXTURE(MalformedFixture, "refusal_withMuchInputUnread_stillReachesTheCaller")
+{
+    const std::string endless = "GET / HTTP/1.1\r\n" + host + fields(90, 8'000);
+    std::atomic<int> refused{0};
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 8; ++caller) {
+        callers.emplace_back([&] {
+            for (int i = 0; i < 20; ++i) {
+                refused += exchange(endless).starts_with("HTTP/1.1 431") ? 1 : 0;
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    CHECK(refused.load() == 8 * 20);
+}
+
 TEST_CASE_FIXTURE(MalformedFixture, "request_headerDripsIn_isEndedByTheHeaderTimeout")
 {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", fleet.entries()[0].port));
