Write again nothing that stood, and do no work twice

One guard around the steps of an exchange, not three. - Mesh copied the set of peers each tick, with a reason that wasn't true: dialling doesn't change it.

--- a/src/app/configurationfeed.cpp
+++ b/src/app/configurationfeed.cpp
@@ -161,8 +161,7 @@
 std::int64_t ConfigurationFeed::scaledByFleet(std::int64_t milliseconds) const
 {
     const std::lock_guard lock(mutex_);
-    const auto isEntry = [](const Steering::Vm &vm) { return vm.kind == Steering::VmKind::Entry; };
-    const std::int64_t count = std::count_if(list_->vms.begin(), list_->vms.end(), isEntry);
+    const auto count = static_cast<std::int64_t>(Platform::entryVmCount(*list_));
     return std::max(milliseconds, milliseconds * count / fleetUnit);
 }
 
@@ -199,9 +198,7 @@
     if (platformAsked_) {
         return true;
     }
-    const std::shared_ptr<const Platform::VmList> known = list();
-    const auto isEntry = [](const Steering::Vm &vm) { return vm.kind == Steering::VmKind::Entry; };
-    const auto listed = static_cast<std::size_t>(std::count_if(known->vms.begin(), known->vms.end(), isEntry));
+    const std::size_t listed = Platform::entryVmCount(*list());
     const std::size_t others = listed > 0 ? listed - 1 : seeds_;
     // Ordinary VMs connect to their zone's relays only, which know what is in force elsewhere.
     const std::size_t needed = std::min(others / 2 + 1, mesh_.status().linksWanted > 0 ? mesh_.status().linksWanted : others / 2 + 1);
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -230,7 +230,10 @@
         for (const MonthFigures &month : recorder_.figures()) {
             const Nodes::Report own{settings_.vm, identity_.incarnation, encodeReport(state, month.month, month.figures)};
             mesh_.sendReport(own);
-            zoneWriters_[Nodes::reportGroupOf(own.node)]->receive(own);
+            const std::size_t group = Nodes::reportGroupOf(own.node);
+            if (mesh_.collects(group)) {
+                zoneWriters_[group]->receive(own);
+            }
         }
         for (std::size_t group = 0; group < zoneWriters_.size(); ++group) {
             zoneWriters_[group]->flush(mesh_.collects(group) && !engine_.isDraining());
--- a/src/app/zonewriter.cpp
+++ b/src/app/zonewriter.cpp
@@ -167,11 +167,11 @@
 void ZoneWriter::writeReview(const std::string &month, const Reports &reports)
 {
     update(store_, Operators::reviewKey(month, group_), [&](const std::string &before) -> std::optional<std::string> {
-        auto review = before.empty() ? Operators::ReviewObject{} : Operators::decodeReview(before).value_or(Operators::ReviewObject{});
-        const bool unreadable = !before.empty() && !Operators::decodeReview(before);
-        if (unreadable || !lease_.isHeld()) {
+        std::optional<Operators::ReviewObject> kept = before.empty() ? Operators::ReviewObject{} : Operators::decodeReview(before);
+        if (!kept || !lease_.isHeld()) {
             return std::nullopt;
         }
+        Operators::ReviewObject &review = *kept;
         for (const auto &[key, received] : reports) {
             if (key.second == month) {
                 review.put(key.first, received.figures);
--- a/src/libs/callers/forwarding.cpp
+++ b/src/libs/callers/forwarding.cpp
@@ -177,15 +177,28 @@
     }
     TryResult result = send(attempt, body);
     if (result == TryResult::Pending && mayHedge(body)) {
-        return hedge(attempt, body);
+        result = attempt.exchange().await(service_.hedgeAfterMs);
+        const std::unique_ptr<UpstreamAttempt> second = result == TryResult::Pending ? startHedge(attempt, body) : nullptr;
+        if (second) {
+            return concludeRace(attempt, *second, body);
+        }
     }
-    if (result == TryResult::Pending) {
+    if (result == TryResult::Pending || result == TryResult::Answered) {
         result = attempt.exchange().finish();
     }
     observe(result, attempt);
     return conclude(result, attempt, body);
 }
 
+/// The first byte of an answer that can be read decides; the other try is cancelled.
+bool Forwarding::concludeRace(UpstreamAttempt &first, UpstreamAttempt &second, BufferedBody &body)
+{
+    const Outcome outcome = race(first, second);
+    (outcome.attempt == &first ? second : first).end();
+    place_ = outcome.attempt->route().place;
+    return conclude(outcome.result, *outcome.attempt, body);
+}
+
 Upstreams::ConnectionUse Forwarding::connectionUse() const
 {
     const bool mayReuse = idempotent_ && !silenceSeen_;
@@ -206,27 +219,6 @@
     return service_.hedgeAfterMs > 0 && idempotent_ && body.isWhole() && tries_ < service_.maxAttempts;
 }
 
-/// Waits a while for the answer, then lets a second server race the first. The first byte of an answer that
-/// can be read decides; the other try is cancelled.
-bool Forwarding::hedge(UpstreamAttempt &first, BufferedBody &body)
-{
-    TryResult result = first.exchange().await(service_.hedgeAfterMs);
-    const std::unique_ptr<UpstreamAttempt> second = result == TryResult::Pending ? startHedge(first, body) : nullptr;
-    if (second) {
-        const Outcome outcome = race(first, *second);
-        (outcome.attempt == &first ? *second : first).end();
-        place_ = outcome.attempt->route().place;
-        return conclude(outcome.result, *outcome.attempt, body);
-    }
-    if (result == TryResult::Answered) {
-        result = first.exchange().readAnswer();
-    } else if (result == TryResult::Pending) {
-        result = first.exchange().finish();
-    }
-    observe(result, first);
-    return conclude(result, first, body);
-}
-
 /// A second try beside the first, sent and pending; null when there is no unit free at once, no budget or no
 /// connection.
 std::unique_ptr<UpstreamAttempt> Forwarding::startHedge(const UpstreamAttempt &first, BufferedBody &body)
--- a/src/libs/callers/forwarding.h
+++ b/src/libs/callers/forwarding.h
@@ -87,7 +87,7 @@
     Upstreams::TryResult send(UpstreamAttempt &attempt, BufferedBody &body);
     [[nodiscard]] bool mayHedge(const BufferedBody &body) const;
     std::unique_ptr<UpstreamAttempt> startHedge(const UpstreamAttempt &first, BufferedBody &body);
-    bool hedge(UpstreamAttempt &first, BufferedBody &body);
+    bool concludeRace(UpstreamAttempt &first, UpstreamAttempt &second, BufferedBody &body);
     Outcome race(UpstreamAttempt &first, UpstreamAttempt &second);
 
     void observe(Upstreams::TryResult result, const UpstreamAttempt &attempt);
--- a/src/libs/nodes/mesh.cpp
+++ b/src/libs/nodes/mesh.cpp
@@ -297,9 +297,7 @@
     for (const auto &[id, link] : links_) {
         linked.insert(link.node);
     }
-    // A copy: a failed dial may change what is worth dialling.
-    const std::set<std::string> nodes = peers_.worthDialling();
-    for (const std::string &node : nodes) {
+    for (const std::string &node : peers_.worthDialling()) {
         const Vm *vm = linked.contains(node) ? nullptr : peers_.find(node);
         if (vm) {
             dial(node, vm->host, vm->nodePort);
--- a/src/libs/platform/vmlist.cpp
+++ b/src/libs/platform/vmlist.cpp
@@ -135,6 +135,12 @@
     }
 }
 
+std::size_t entryVmCount(const VmList &list)
+{
+    const auto isEntry = [](const Vm &vm) { return vm.kind == VmKind::Entry; };
+    return static_cast<std::size_t>(std::count_if(list.vms.begin(), list.vms.end(), isEntry));
+}
+
 const Vm *findVm(const VmList &list, const std::string &id)
 {
     for (const Vm &vm : list.vms) {
--- a/src/libs/platform/vmlist.h
+++ b/src/libs/platform/vmlist.h
@@ -33,5 +33,6 @@
 [[nodiscard]] std::optional<ListDelta> deltaFromJson(const nlohmann::json &json);
 
 [[nodiscard]] const Steering::Vm *findVm(const VmList &list, const std::string &id);
+[[nodiscard]] std::size_t entryVmCount(const VmList &list);
 
 } // namespace Wasabistair::Platform
--- a/src/libs/upstreams/exchange.cpp
+++ b/src/libs/upstreams/exchange.cpp
@@ -78,8 +78,15 @@
     return static_cast<int>(std::clamp<std::int64_t>(remainingMs(), 1, limits_.progressTimeoutMs));
 }
 
-TryResult Exchange::closedUnlessGood(TryResult result)
+template<typename F>
+TryResult Exchange::step(F &&work)
 {
+    TryResult result = TryResult::NoAnswer;
+    try {
+        result = work();
+    } catch (const Poco::Exception &) {
+        result = TryResult::NoAnswer;
+    }
     if (result != TryResult::Pending && result != TryResult::Answered && result != TryResult::Refused) {
         // POCO's chunked stream writes a valid ending when it is destroyed; a closed socket prevents that.
         session_.abandon();
@@ -89,29 +96,17 @@
 
 TryResult Exchange::send(const OutgoingRequest &request, RequestBody &body)
 {
-    try {
-        return closedUnlessGood(sendAll(request, body));
-    } catch (const Poco::Exception &) {
-        return closedUnlessGood(TryResult::NoAnswer);
-    }
+    return step([&] { return sendAll(request, body); });
 }
 
 TryResult Exchange::await(std::int64_t waitMs)
 {
-    try {
-        return closedUnlessGood(awaitStep(waitMs));
-    } catch (const Poco::Exception &) {
-        return closedUnlessGood(TryResult::NoAnswer);
-    }
+    return step([&] { return awaitFirstByte(waitMs); });
 }
 
 TryResult Exchange::readAnswer()
 {
-    try {
-        return closedUnlessGood(readHead());
-    } catch (const Poco::Exception &) {
-        return closedUnlessGood(TryResult::NoAnswer);
-    }
+    return step([&] { return readHead(); });
 }
 
 TryResult Exchange::finish()
@@ -185,7 +180,7 @@
     return TryResult::Pending;
 }
 
-TryResult Exchange::awaitStep(std::int64_t waitMs)
+TryResult Exchange::awaitFirstByte(std::int64_t waitMs)
 {
     const Base::MonotonicMs start = clock_.monotonic();
     while (true) {
--- a/src/libs/upstreams/exchange.h
+++ b/src/libs/upstreams/exchange.h
@@ -100,9 +100,11 @@
     [[nodiscard]] int stepTimeoutMs() const;
     TryResult sendAll(const OutgoingRequest &request, RequestBody &body);
     TryResult sendBody(std::ostream &out, RequestBody &body);
-    TryResult awaitStep(std::int64_t waitMs);
+    TryResult awaitFirstByte(std::int64_t waitMs);
     TryResult readHead();
-    TryResult closedUnlessGood(TryResult result);
+    /// Runs one step; closes the connection unless the exchange may go on.
+    template<typename F>
+    TryResult step(F &&work);
 
     UpstreamSession &session_;
     const Base::Clock &clock_;
--- a/src/tools/reportcommands.cpp
+++ b/src/tools/reportcommands.cpp
@@ -4,6 +4,7 @@
 
 #include <operators/review.h>
 #include <operators/reviewplot.h>
+#include <operators/reviewreader.h>
 #include <steering/schema.h>
 
 #include <algorithm>
@@ -19,21 +20,6 @@
 
 namespace {
 
-Base::Result<Operators::Figures> monthFigures(ObjectStore &store, const std::string &month)
-{
-    BOOST_LEAF_AUTO(keys, store.list(Operators::reviewPrefix(month)));
-    Operators::Figures sum;
-    for (const std::string &key : keys) {
-        BOOST_LEAF_AUTO(value, store.get(key));
-        const auto review = Operators::decodeReview(value.value);
-        if (!review) {
-            return Base::Leaf::new_error(Platform::PlatformError{Platform::PlatformFailure::BadAnswer, key});
-        }
-        sum = sum.mergedWith(review->total());
-    }
-    return sum;
-}
-
 std::string decimal(double value)
 {
     char text[32];
@@ -97,7 +83,7 @@
 ExitCode reportCommand(ObjectStore &store, const CommandOptions &options)
 {
     const std::string month = options.month.empty() ? Operators::monthOf(nowMs()) : options.month;
-    const auto figures = Platform::tryStore([&] { return monthFigures(store, month); });
+    const auto figures = Platform::tryStore([&] { return Operators::readMonth(store, month); });
     if (!figures) {
         return platformFailed(*figures.error);
     }
