--- a/benchmarks/bench_deployments.cpp
+++ b/benchmarks/bench_deployments.cpp
@@ -5,7 +5,7 @@
 #include <standins/fleet.h>
 #include <standins/oracle.h>
 
-#include <operators/review.h>
+#include <operators/reviewreader.h>
 #include <platform/objectstore.h>
 
 #include <nlohmann/json.hpp>
@@ -39,17 +39,8 @@
 
 Operators::Figures reviewOf(Fleet &fleet)
 {
-    Operators::Figures sum;
-    const std::string month = Operators::monthOf(Base::SystemClock().wall());
-    const auto keys = Platform::tryStore([&] { return fleet.store().list(Operators::reviewPrefix(month)); });
-    for (const std::string &key : keys ? *keys.value : std::vector<std::string>()) {
-        const auto value = Platform::tryStore([&] { return fleet.store().get(key); });
-        const auto review = value ? Operators::decodeReview(value.value->value) : std::nullopt;
-        if (review) {
-            sum = sum.mergedWith(review->total());
-        }
-    }
-    return sum;
+    const auto figures = Platform::tryStore([&] { return Operators::readMonth(fleet.store(), Operators::monthOf(Base::SystemClock().wall())); });
+    return figures ? *figures.value : Operators::Figures{};
 }
 
 struct Headroom {
@@ -129,12 +120,8 @@
     LoadPlan half(const char *prefix) const
     {
         const double servers = service_.serversPerRegion * static_cast<double>(service_.regions.size());
-        LoadPlan load;
-        load.entries = fleet_.entries();
-        load.host = fleet_.plan().host;
+        LoadPlan load = fleet_.load(phaseMs, 120);
         load.ratePerSecond = servers * service_.slots * msPerSecond / service_.serviceMs / 2;
-        load.callers = 120;
-        load.durationMs = phaseMs;
         load.postPercent = 20;
         load.idPrefix = prefix;
         return load;
--- a/benchmarks/bench_path.cpp
+++ b/benchmarks/bench_path.cpp
@@ -98,11 +98,7 @@
     const double capacity = 1'200;
     std::size_t atCapacity = 0;
     for (const int times : {1, 2, 5, 10}) {
-        LoadPlan load;
-        load.entries = fleet.entries();
-        load.host = plan.host;
-        load.callers = 300;
-        load.durationMs = 5'000;
+        LoadPlan load = fleet.load(5'000, 300);
         load.ratePerSecond = capacity * times;
         load.postPercent = 30;
         load.idPrefix = "x" + std::to_string(times) + "-";
@@ -140,11 +136,7 @@
         objects.services[0].hedgeAfterMs = hedgeAfterMs;
         startFleet(fleet, objects);
         fleet.upstreams()[0]->setServiceMs(100);
-        LoadPlan load;
-        load.entries = fleet.entries();
-        load.host = plan.host;
-        load.callers = 60;
-        load.durationMs = 5'000;
+        LoadPlan load = fleet.load(5'000, 60);
         // Six servers with 8 slots at 5 ms could do 9600 a second.
         load.ratePerSecond = 1'000;
         const auto records = runLoad(load);
--- a/tests/auto/faults/tst_atmostonce.cpp
+++ b/tests/auto/faults/tst_atmostonce.cpp
@@ -35,11 +35,7 @@
 
     LoadPlan load(int milliseconds) const
     {
-        LoadPlan plan;
-        plan.entries = fleet.entries();
-        plan.host = "orders.test";
-        plan.callers = 12;
-        plan.durationMs = milliseconds;
+        LoadPlan plan = fleet.load(milliseconds, 12);
         plan.pauseMs = 2;
         plan.postPercent = 50;
         return plan;
--- a/tests/auto/faults/tst_drain.cpp
+++ b/tests/auto/faults/tst_drain.cpp
@@ -38,11 +38,7 @@
 
     LoadPlan load(int milliseconds) const
     {
-        LoadPlan plan;
-        plan.entries = fleet.entries();
-        plan.host = "orders.test";
-        plan.callers = 12;
-        plan.durationMs = milliseconds;
+        LoadPlan plan = fleet.load(milliseconds, 12);
         plan.pauseMs = 3;
         plan.postPercent = 40;
         return plan;
--- a/tests/auto/faults/tst_figures.cpp
+++ b/tests/auto/faults/tst_figures.cpp
@@ -1,7 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
-#include <operators/review.h>
+#include <operators/reviewreader.h>
 #include <standins/fleet.h>
 #include <standins/oracle.h>
 
@@ -40,33 +40,21 @@
     /// Calls on @p entries; counts what the callers saw answered.
     void load(const std::vector<Base::HostPort> &entries, int milliseconds)
     {
-        LoadPlan plan;
+        LoadPlan plan = fleet.load(milliseconds, 6);
         plan.entries = entries;
-        plan.host = "orders.test";
-        plan.callers = 6;
-        plan.durationMs = milliseconds;
         plan.pauseMs = 10;
         plan.idPrefix = "load" + std::to_string(loads++) + "-";
         answered += countResults(runLoad(plan))["answered"];
     }
 
-    Operators::Figures review()
-    {
-        Operators::Figures sum;
-        const auto keys = Platform::tryStore([&] { return fleet.store().list(Operators::reviewPrefix(Operators::monthOf(Base::SystemClock().wall()))); });
-        for (const std::string &key : keys ? *keys.value : std::vector<std::string>()) {
-            const auto value = Platform::tryStore([&] { return fleet.store().get(key); });
-            const auto object = value ? Operators::decodeReview(value.value->value) : std::nullopt;
-            sum = object ? sum.mergedWith(object->total()) : sum;
-        }
-        return sum;
-    }
-
     std::uint64_t reviewed()
     {
-        const Operators::Figures sum = review();
-        const auto found = sum.places.find({"order-ledger", "order-ledger-leinster"});
-        return found == sum.places.end() ? 0 : found->second.answered;
+        const auto sum = Platform::tryStore([&] { return Operators::readMonth(fleet.store(), Operators::monthOf(Base::SystemClock().wall())); });
+        if (!sum) {
+            return 0;
+        }
+        const auto found = sum.value->places.find({"order-ledger", "order-ledger-leinster"});
+        return found == sum.value->places.end() ? 0 : found->second.answered;
     }
 
     /// Entry VMs but those given.
--- a/tests/auto/faults/tst_headroom.cpp
+++ b/tests/auto/faults/tst_headroom.cpp
@@ -42,11 +42,7 @@
 
     LoadPlan overload(int milliseconds, int callers) const
     {
-        LoadPlan plan;
-        plan.entries = fleet.entries();
-        plan.host = "orders.test";
-        plan.callers = callers;
-        plan.durationMs = milliseconds;
+        LoadPlan plan = fleet.load(milliseconds, callers);
         plan.postPercent = 30;
         return plan;
     }
--- a/tests/auto/faults/tst_hedge.cpp
+++ b/tests/auto/faults/tst_hedge.cpp
@@ -44,11 +44,7 @@
 
     LoadPlan load(int milliseconds, int postPercent) const
     {
-        LoadPlan plan;
-        plan.entries = fleet.entries();
-        plan.host = "orders.test";
-        plan.callers = 6;
-        plan.durationMs = milliseconds;
+        LoadPlan plan = fleet.load(milliseconds, 6);
         plan.pauseMs = 5;
         plan.postPercent = postPercent;
         return plan;
--- a/tests/auto/faults/tst_outage.cpp
+++ b/tests/auto/faults/tst_outage.cpp
@@ -122,11 +122,7 @@
     fleet.platform().setFaults({.down = true});
     // Longer than the hold after which slots of missing VMs may be taken, and than every contact limit.
     sleepMs(35'000);
-    LoadPlan plan;
-    plan.entries = fleet.entries();
-    plan.host = "orders.test";
-    plan.callers = 6;
-    plan.durationMs = 1'500;
+    LoadPlan plan = fleet.load(1'500, 6);
     plan.pauseMs = 10;
     const std::vector<CallerRecord> records = runLoad(plan);
     auto counts = countResults(records);
--- a/tests/auto/nodes/tst_generationstore.cpp
+++ b/tests/auto/nodes/tst_generationstore.cpp
@@ -2,6 +2,7 @@
 
 #include <nodes/generationstore.h>
 #include <platform/content.h>
+#include <standins/soundobjects.h>
 
 #include <rapidcheck.h>
 
@@ -12,19 +13,7 @@
 
 Steering::ObjectSet objectsOf(int variant)
 {
-    Steering::ObjectSet set;
-    Steering::Service service;
-    service.name = "orders";
-    service.hosts = {"orders.test"};
-    service.pathPrefix = "/";
-    service.deadlineMs = 1'000 + variant;
-    service.progressTimeoutMs = 1'000;
-    service.maxAttempts = 1;
-    service.lookupMaxAgeSeconds = 1;
-    set.services = {service};
-    set.places = {{"east", "orders", "r0", {"r0-a"}, 4, 2, 0, 400, 75, 0}};
-    set.sites = {{"s0", "r0", {"r0-a"}}};
-    set.fleets = {{"fleet", {{"r0", 2}}}};
+    Steering::ObjectSet set = StandIns::soundObjects(variant);
     set.clientBlocks = {{0x0a000000, 8, "s0"}};
     return set;
 }
--- a/tests/auto/platform/tst_content.cpp
+++ b/tests/auto/platform/tst_content.cpp
@@ -1,4 +1,3 @@
-#include "objects.h"
 
 #include <doctest/doctest.h>
 
@@ -6,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <standins/soundobjects.h>
+
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -13,7 +14,7 @@
 
 using namespace Wasabistair;
 using namespace Wasabistair::Platform;
-using Wasabistair::PlatformTests::soundObjects;
+using Wasabistair::StandIns::soundObjects;
 
 namespace {
 
--- a/tests/auto/platform/tst_publication.cpp
+++ b/tests/auto/platform/tst_publication.cpp
@@ -1,16 +1,16 @@
-#include "objects.h"
 
 #include <doctest/doctest.h>
 
 #include <platform/publication.h>
 #include <standins/memorystore.h>
+#include <standins/soundobjects.h>
 
 #include <rapidcheck.h>
 
 using namespace Wasabistair;
 using namespace Wasabistair::Platform;
-using Wasabistair::PlatformTests::soundObjects;
 using Wasabistair::StandIns::MemoryStore;
+using Wasabistair::StandIns::soundObjects;
 
 namespace {
 
--- a/tests/standins/fakeplatform.cpp
+++ b/tests/standins/fakeplatform.cpp
@@ -3,16 +3,11 @@
 #include <base/clock.h>
 #include <platform/vmlist.h>
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/Thread.h>
-#include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
 #include <nlohmann/json.hpp>
@@ -28,41 +23,8 @@
 using Poco::Net::HTTPResponse;
 
 constexpr int maxThreads = 600;
-constexpr int backlog = 512;
 constexpr int silentStepMs = 50;
 
-class Handler: public Poco::Net::HTTPRequestHandler
-{
-public:
-    explicit Handler(FakePlatform &platform)
-        : platform_(platform)
-    {}
-
-    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
-    {
-        platform_.handle(request, response);
-    }
-
-private:
-    FakePlatform &platform_;
-};
-
-class Factory: public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit Factory(FakePlatform &platform)
-        : platform_(platform)
-    {}
-
-    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest &) override
-    {
-        return new Handler(platform_);
-    }
-
-private:
-    FakePlatform &platform_;
-};
-
 std::string quoted(Platform::Version version)
 {
     return "\"" + std::to_string(version) + "\"";
@@ -102,15 +64,7 @@
 
 FakePlatform::FakePlatform(std::uint16_t port)
 {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true, false);
-    socket.listen(backlog);
-    auto *params = new Poco::Net::HTTPServerParams;
-    params->setMaxThreads(maxThreads);
-    params->setMaxQueued(maxThreads);
-    params->setKeepAlive(false);
-    threads_ = std::make_unique<Poco::ThreadPool>(1, maxThreads);
-    server_ = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), *threads_, socket, params);
+    server_ = std::make_unique<HttpServer>(HttpServerSettings{port, maxThreads, false}, [this](auto &request, auto &response) { handle(request, response); });
     server_->start();
 }
 
@@ -121,8 +75,7 @@
         stopping_ = true;
         changed_.notify_all();
     }
-    server_->stopAll(true);
-    threads_->joinAll();
+    server_->stop();
 }
 
 std::uint16_t FakePlatform::port() const
--- a/tests/standins/fakeplatform.h
+++ b/tests/standins/fakeplatform.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "httpserver.h"
+
 #include <platform/objectstore.h>
 
 #include <nlohmann/json_fwd.hpp>
@@ -12,12 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace Poco {
-class ThreadPool;
-}
-
 namespace Poco::Net {
-class HTTPServer;
 class HTTPServerRequest;
 class HTTPServerResponse;
 } // namespace Poco::Net
@@ -82,9 +79,7 @@
     std::vector<ListVersion> lists_;
     Platform::Version nextVersion_ = 1;
     bool stopping_ = false;
-    // Of its own, so that no handler is left when the stand-in goes.
-    std::unique_ptr<Poco::ThreadPool> threads_;
-    std::unique_ptr<Poco::Net::HTTPServer> server_;
+    std::unique_ptr<HttpServer> server_;
 };
 
 } // namespace Wasabistair::StandIns
--- a/tests/standins/fakeupstream.cpp
+++ b/tests/standins/fakeupstream.cpp
@@ -3,15 +3,10 @@
 #include <base/clock.h>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/Thread.h>
-#include <Poco/ThreadPool.h>
 
 #include <nlohmann/json.hpp>
 
@@ -28,41 +23,8 @@
 using Poco::Net::HTTPResponse;
 
 constexpr int maxThreads = 450;
-constexpr int backlog = 512;
 constexpr int silentStepMs = 50;
 
-class Handler: public Poco::Net::HTTPRequestHandler
-{
-public:
-    explicit Handler(FakeUpstream &upstream)
-        : upstream_(upstream)
-    {}
-
-    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
-    {
-        upstream_.handle(request, response);
-    }
-
-private:
-    FakeUpstream &upstream_;
-};
-
-class Factory: public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit Factory(FakeUpstream &upstream)
-        : upstream_(upstream)
-    {}
-
-    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest &) override
-    {
-        return new Handler(upstream_);
-    }
-
-private:
-    FakeUpstream &upstream_;
-};
-
 Poco::Net::StreamSocket &socketOf(Poco::Net::HTTPServerRequest &request)
 {
     return static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
@@ -117,24 +79,15 @@
     , started_(Base::SystemClock().monotonic())
     , serviceMs_(settings_.serviceMs)
 {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1", settings_.port), true, false);
-    socket.listen(backlog);
-    auto *params = new Poco::Net::HTTPServerParams;
-    params->setMaxThreads(maxThreads);
-    params->setMaxQueued(maxThreads);
-    params->setKeepAlive(true);
-    params->setMaxKeepAliveRequests(0);
-    threads_ = std::make_unique<Poco::ThreadPool>(1, maxThreads);
-    server_ = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), *threads_, socket, params);
+    server_ = std::make_unique<HttpServer>(
+        HttpServerSettings{settings_.port, maxThreads, true}, [this](auto &request, auto &response) { handle(request, response); });
     server_->start();
 }
 
 FakeUpstream::~FakeUpstream()
 {
     silent_ = false;
-    server_->stopAll(true);
-    threads_->joinAll();
+    server_->stop();
 }
 
 std::uint16_t FakeUpstream::port() const
@@ -189,24 +142,25 @@
     return std::clamp(warm, 1, settings_.slots);
 }
 
-bool FakeUpstream::awaitSlot(std::unique_lock<std::mutex> &lock, Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs)
+FakeUpstream::Entry FakeUpstream::awaitSlot(std::unique_lock<std::mutex> &lock, Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs)
 {
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(deadlineMs);
     while (std::chrono::steady_clock::now() < end) {
         const auto slice = std::min(end, std::chrono::steady_clock::now() + std::chrono::milliseconds(cancelNoticeMs_));
         if (slotFreed_.wait_until(lock, slice, [this] { return running_ < usableSlots(); })) {
-            return true;
+            return Entry::Entered;
         }
         if (isClosed(request)) {
-            return false;
+            return Entry::Cancelled;
         }
     }
-    return false;
+    return isClosed(request) ? Entry::Cancelled : Entry::Shed;
 }
 
 FakeUpstream::Entry FakeUpstream::enterSlot(Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs)
 {
     std::unique_lock lock(mutex_);
+    Entry entry = Entry::Entered;
     if (running_ >= usableSlots()) {
         if (queued_ >= settings_.queue) {
             ++statistics_.shed;
@@ -214,17 +168,18 @@
         }
         ++queued_;
         statistics_.peakQueued = std::max(statistics_.peakQueued, queued_);
-        const bool entered = awaitSlot(lock, request, deadlineMs);
+        entry = awaitSlot(lock, request, deadlineMs);
         --queued_;
-        if (!entered) {
-            const bool cancelled = isClosed(request);
-            statistics_.shed += cancelled ? 0 : 1;
-            return cancelled ? Entry::Cancelled : Entry::Shed;
-        }
+    }
+    if (entry == Entry::Shed) {
+        ++statistics_.shed;
+    }
+    if (entry != Entry::Entered) {
+        return entry;
     }
     ++running_;
     statistics_.peakRunning = std::max(statistics_.peakRunning, running_);
-    return Entry::Entered;
+    return entry;
 }
 
 void FakeUpstream::leaveSlot()
--- a/tests/standins/fakeupstream.h
+++ b/tests/standins/fakeupstream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "httpserver.h"
+
 #include <nlohmann/json_fwd.hpp>
 
 #include <atomic>
@@ -11,12 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace Poco {
-class ThreadPool;
-}
-
 namespace Poco::Net {
-class HTTPServer;
 class HTTPServerRequest;
 class HTTPServerResponse;
 } // namespace Poco::Net
@@ -93,7 +90,7 @@
     };
 
     Entry enterSlot(Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs);
-    bool awaitSlot(std::unique_lock<std::mutex> &lock, Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs);
+    Entry awaitSlot(std::unique_lock<std::mutex> &lock, Poco::Net::HTTPServerRequest &request, std::int64_t deadlineMs);
     void leaveSlot();
     [[nodiscard]] int usableSlots() const;
     void run(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::string &body, SlotHold &slot);
@@ -115,9 +112,7 @@
     int queued_ = 0;
     UpstreamStatistics statistics_;
     std::vector<RunRecord> record_;
-    // Of its own, so that no handler is left when the stand-in goes.
-    std::unique_ptr<Poco::ThreadPool> threads_;
-    std::unique_ptr<Poco::Net::HTTPServer> server_;
+    std::unique_ptr<HttpServer> server_;
 };
 
 } // namespace Wasabistair::StandIns
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -242,6 +242,16 @@
     return addresses;
 }
 
+LoadPlan Fleet::load(int milliseconds, int callers) const
+{
+    LoadPlan load;
+    load.entries = entries();
+    load.host = plan_.host;
+    load.callers = callers;
+    load.durationMs = milliseconds;
+    return load;
+}
+
 const FleetPlan &Fleet::plan() const
 {
     return plan_;
--- a/tests/standins/fleet.h
+++ b/tests/standins/fleet.h
@@ -69,6 +69,8 @@
     [[nodiscard]] std::vector<std::unique_ptr<FakeUpstream>> &upstreams();
     [[nodiscard]] std::vector<Base::HostPort> entries() const;
     [[nodiscard]] const FleetPlan &plan() const;
+    /// Load on all entry VMs for the fleet's service.
+    [[nodiscard]] LoadPlan load(int milliseconds, int callers) const;
     /// Records of all upstreams by request id.
     [[nodiscard]] std::map<std::string, int> runsById() const;
     void setPlatformPort(std::size_t vm, std::uint16_t port);
--- a/tests/auto/platform/objects.h
+++ b/tests/standins/soundobjects.h
@@ -2,7 +2,7 @@
 
 #include <steering/objects.h>
 
-namespace Wasabistair::PlatformTests {
+namespace Wasabistair::StandIns {
 
 /// A sound set of objects; @p variant changes a field, so that sets differ.
 inline Steering::ObjectSet soundObjects(int variant = 0)
@@ -23,4 +23,4 @@
     return set;
 }
 
-} // namespace Wasabistair::PlatformTests
+} // namespace Wasabistair::StandIns
