--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -5,7 +5,7 @@
     g++ cmake ninja-build pkg-config ca-certificates
     libpoco-dev libwebsocketpp-dev libboost1.81-dev nlohmann-json3-dev libyaml-cpp-dev libcxxopts-dev
     liblog4cxx-dev prometheus-cpp-dev liburcu-dev libxxhash-dev libssl-dev
-    doctest-dev librapidcheck-dev libbenchmark-dev clang-format clang-tidy
+    libtomlplusplus-dev doctest-dev librapidcheck-dev libbenchmark-dev clang-format clang-tidy
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/src/app/daemonsettings.cpp
+++ b/src/app/daemonsettings.cpp
@@ -33,7 +33,9 @@
     return {std::move(name), SettingType::Flag, "false", std::move(help), 0, 0};
 }
 
-bool parseLevel(const std::string &text, Base::LogLevel &level)
+} // namespace
+
+bool parseLogLevel(const std::string &text, Base::LogLevel &level)
 {
     if (text == "debug") {
         level = Base::LogLevel::Debug;
@@ -49,8 +51,6 @@
     return true;
 }
 
-} // namespace
-
 std::vector<SettingSpec> daemonSettingSpecs()
 {
     return {text("vm", std::nullopt, "Id of this VM in the platform's list."), text("region", std::nullopt, "Region of this VM."),
@@ -95,7 +95,7 @@
     result.bufferBytes = settings.integer("buffer-bytes");
     result.reportIntervalMs = settings.integer("report-interval-ms");
     result.trustClientParameter = settings.flag("trust-client-parameter");
-    if (!parseLevel(settings.text("log-level"), result.logLevel)) {
+    if (!parseLogLevel(settings.text("log-level"), result.logLevel)) {
         faults.push_back({SettingFaultKind::OutOfRange, "log-level", settings.text("log-level")});
     }
     return faults;
--- a/src/app/daemonsettings.h
+++ b/src/app/daemonsettings.h
@@ -34,4 +34,7 @@
 /// Faults beyond those of single settings, such as a malformed list of seeds.
 [[nodiscard]] std::vector<Base::SettingFault> readDaemonSettings(const Base::Settings &settings, DaemonSettings &result);
 
+/// Level named by @p text; false when there is none of that name.
+[[nodiscard]] bool parseLogLevel(const std::string &text, Base::LogLevel &level);
+
 } // namespace Wasabistair::App
--- /dev/null
+++ b/src/app/infoserver.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <base/settings.h>
+
+#include <Poco/Net/HTTPServer.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Wasabistair::App {
+
+struct InfoAnswer {
+    int status = 200;
+    std::string contentType = "text/plain";
+    std::string body;
+
+    auto operator<=>(const InfoAnswer &) const = default;
+};
+
+/// Small HTTP server for questions that are answered from memory: readiness, look-ups, metrics.
+class InfoServer
+{
+public:
+    /// @p respond gets the request's target. Throws Poco::Net::NetException when the address can't be used.
+    InfoServer(const Base::HostPort &address, int maxThreads, std::function<InfoAnswer(const std::string &target)> respond);
+    ~InfoServer();
+
+private:
+    std::unique_ptr<Poco::Net::HTTPServer> server_;
+};
+
+} // namespace Wasabistair::App
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon.h"
 #include "daemonsettings.h"
+#include "entryprogram.h"
 
 #include <base/log.h>
 #include <nodes/websockettransport.h>
@@ -12,6 +13,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <string_view>
 
 namespace {
 
@@ -65,6 +67,10 @@
 
 int main(int argc, char **argv)
 {
+    // "wasabistaird entry" serves on the users' platform; without it, the product's own store and formats are spoken.
+    if (argc > 1 && std::string_view(argv[1]) == "entry") {
+        return App::runEntryProgram(argc - 1, argv + 1);
+    }
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGTERM, onStopSignal);
     std::signal(SIGINT, onStopSignal);
@@ -90,6 +96,6 @@
         std::cout << settings.describe();
         return 0;
     }
-    Base::configureLog(checked.logLevel);
+    Base::configureLog(checked.logLevel, Base::LogOutput::StandardOutput);
     return run(checked);
 }
--- a/src/libs/base/log.cpp
+++ b/src/libs/base/log.cpp
@@ -1,5 +1,6 @@
 #include "log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
@@ -10,6 +11,9 @@
 
 namespace {
 
+// Lines that wait for standard output; a few seconds of a busy VM.
+constexpr int bufferedLines = 2048;
+
 log4cxx::LevelPtr toLog4cxx(LogLevel level)
 {
     switch (level) {
@@ -71,11 +75,21 @@
     return line;
 }
 
-void configureLog(LogLevel level)
+void configureLog(LogLevel level, LogOutput output)
 {
     auto layout = std::make_shared<log4cxx::PatternLayout>("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n");
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-    log4cxx::BasicConfigurator::configure(appender);
+    const bool toOutput = output == LogOutput::StandardOutput;
+    const auto &target = toOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr();
+    auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, target);
+    if (toOutput) {
+        auto buffer = std::make_shared<log4cxx::AsyncAppender>();
+        buffer->setBufferSize(bufferedLines);
+        buffer->setBlocking(false);
+        buffer->addAppender(console);
+        log4cxx::BasicConfigurator::configure(buffer);
+    } else {
+        log4cxx::BasicConfigurator::configure(console);
+    }
     log4cxx::Logger::getRootLogger()->setLevel(toLog4cxx(level));
 }
 
--- a/src/libs/base/log.h
+++ b/src/libs/base/log.h
@@ -37,8 +37,16 @@
 /// Formats "event=<event> key=value …"; values with blanks, quotes or controls are quoted and escaped.
 [[nodiscard]] std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields);
 
-/// Sends log lines to standard error at @p level and above. Call once, before the first line.
-void configureLog(LogLevel level);
+enum class LogOutput {
+    /// Written by a thread of its own: a reader that is slow or gone delays nobody. What the buffer can't hold is left out,
+    /// and a line tells how much.
+    StandardOutput,
+    /// Written at once; for programs whose standard output is their result.
+    StandardError,
+};
+
+/// Sends log lines at @p level and above to @p output. Call once, before the first line.
+void configureLog(LogLevel level, LogOutput output);
 
 /// Writes one line for one event.
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
--- /dev/null
+++ b/src/libs/callers/callerrequest.cpp
@@ -0,0 +1,145 @@
+#include "callerrequest.h"
+
+#include "requestcheck.h"
+
+#include <http/bodydecoder.h>
+#include <http/messagehead.h>
+
+#include <Poco/String.h>
+
+namespace Wasabistair::Callers {
+
+namespace {
+
+// Longest pause while a body arrives; total time is bounded by the request's own deadline.
+constexpr std::int64_t bodyPauseMs = 4'000;
+
+ReadEnd readHead(Http::ByteStream &stream, const Steering::CallerLimits &limits, Base::MonotonicMs idleUntil, const Base::Clock &clock, CallerRequest &request)
+{
+    Base::MonotonicMs deadline = idleUntil;
+    bool begun = !stream.input().empty();
+    while (true) {
+        if (begun && request.arrivedAt == 0) {
+            request.arrivedAt = clock.monotonic();
+            deadline = request.arrivedAt + limits.headerTimeoutMs;
+        }
+        if (const auto head = Http::takeHead(stream.input())) {
+            return Http::parseRequest(*head, request.head) && !checkRequest(request.head) ? ReadEnd::Whole : ReadEnd::Malformed;
+        }
+        if (stream.input().size() > static_cast<std::size_t>(limits.maxHeaderBytes)) {
+            return ReadEnd::HeaderTooLarge;
+        }
+        const Http::IoState state = stream.receive(deadline);
+        if (state != Http::IoState::Ok) {
+            return state == Http::IoState::TimedOut && begun ? ReadEnd::TimedOut : ReadEnd::Closed;
+        }
+        begun = begun || !stream.input().empty();
+    }
+}
+
+ReadEnd readBody(
+    Http::ByteStream &stream, const Steering::CallerLimits &limits, const Base::Clock &clock, BodyMemoryLease &memory, CallerRequest &request)
+{
+    const RequestFraming framing = requestFraming(request.head);
+    if (framing.length > limits.maxBodyBytes) {
+        return ReadEnd::BodyTooLarge;
+    }
+    if (Poco::icompare(request.head.get("Expect", ""), "100-continue") == 0) {
+        stream.send("HTTP/1.1 100 Continue\r\n\r\n", clock.monotonic() + bodyPauseMs);
+    }
+    Http::BodyDecoder decoder(framing.framing, static_cast<std::uint64_t>(framing.length));
+    while (true) {
+        const Http::BodyState state = decoder.feed(stream.input(), request.body);
+        if (state == Http::BodyState::Complete) {
+            return ReadEnd::Whole;
+        }
+        if (state == Http::BodyState::Cut) {
+            return ReadEnd::Malformed;
+        }
+        if (static_cast<std::int64_t>(request.body.size()) > limits.maxBodyBytes) {
+            return ReadEnd::BodyTooLarge;
+        }
+        if (!memory.growTo(static_cast<std::int64_t>(request.body.size()))) {
+            return ReadEnd::NoMemory;
+        }
+        const Http::IoState io = stream.receive(clock.monotonic() + bodyPauseMs);
+        if (io != Http::IoState::Ok) {
+            return io == Http::IoState::TimedOut ? ReadEnd::TimedOut : ReadEnd::Closed;
+        }
+    }
+}
+
+} // namespace
+
+std::string_view toString(ReadEnd end)
+{
+    switch (end) {
+    case ReadEnd::Whole:
+        return "whole";
+    case ReadEnd::Closed:
+        return "closed";
+    case ReadEnd::TimedOut:
+        return "timed-out";
+    case ReadEnd::Malformed:
+        return "malformed";
+    case ReadEnd::HeaderTooLarge:
+        return "header-too-large";
+    case ReadEnd::BodyTooLarge:
+        return "body-too-large";
+    case ReadEnd::NoMemory:
+        return "no-memory";
+    }
+    return "unknown";
+}
+
+BodyMemory::BodyMemory(std::int64_t limitBytes)
+    : limitBytes_(limitBytes)
+{}
+
+bool BodyMemory::tryTake(std::int64_t bytes)
+{
+    if (taken_.fetch_add(bytes, std::memory_order_relaxed) + bytes <= limitBytes_) {
+        return true;
+    }
+    give(bytes);
+    return false;
+}
+
+void BodyMemory::give(std::int64_t bytes)
+{
+    taken_.fetch_sub(bytes, std::memory_order_relaxed);
+}
+
+BodyMemoryLease::BodyMemoryLease(BodyMemory &memory)
+    : memory_(memory)
+{}
+
+BodyMemoryLease::~BodyMemoryLease()
+{
+    memory_.give(held_);
+}
+
+bool BodyMemoryLease::growTo(std::int64_t bytes)
+{
+    if (bytes <= held_) {
+        return true;
+    }
+    if (!memory_.tryTake(bytes - held_)) {
+        return false;
+    }
+    held_ = bytes;
+    return true;
+}
+
+ReadEnd readRequest(Http::ByteStream &stream, const Steering::CallerLimits &limits, Base::MonotonicMs idleUntil, const Base::Clock &clock,
+    BodyMemoryLease &memory, CallerRequest &request)
+{
+    const ReadEnd head = readHead(stream, limits, idleUntil, clock, request);
+    if (head != ReadEnd::Whole) {
+        return head;
+    }
+    request.facts = Adapter::decodeCallerFacts(request.head);
+    return readBody(stream, limits, clock, memory, request);
+}
+
+} // namespace Wasabistair::Callers
--- /dev/null
+++ b/src/libs/callers/callersession.cpp
@@ -0,0 +1,179 @@
+#include "callersession.h"
+
+#include <base/log.h>
+#include <http/messagehead.h>
+
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/NumberFormatter.h>
+
+namespace Wasabistair::Callers {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+// An answer that is ready is delivered also when it is late; a caller that takes nothing for this long is gone.
+constexpr std::int64_t answerTimeoutMs = 10'000;
+// How long a caller that was refused before its request was read may take to read the refusal.
+constexpr std::int64_t lingerMs = 1'000;
+constexpr double msPerSecond = 1000;
+constexpr int retryAfterDecimals = 3;
+
+/// Counts a request for as long as it is served.
+class ActiveRequest
+{
+public:
+    ActiveRequest(std::atomic<int> &active, prometheus::Gauge &gauge)
+        : active_(active)
+        , gauge_(gauge)
+    {
+        active_.fetch_add(1);
+        gauge_.Increment();
+    }
+    ~ActiveRequest()
+    {
+        gauge_.Decrement();
+        active_.fetch_sub(1);
+    }
+    ActiveRequest(const ActiveRequest &) = delete;
+    ActiveRequest &operator=(const ActiveRequest &) = delete;
+
+private:
+    std::atomic<int> &active_;
+    prometheus::Gauge &gauge_;
+};
+
+int statusOf(ReadEnd end)
+{
+    switch (end) {
+    case ReadEnd::TimedOut:
+        return HTTPResponse::HTTP_REQUEST_TIMEOUT;
+    case ReadEnd::HeaderTooLarge:
+        return HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+    case ReadEnd::BodyTooLarge:
+        return HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
+    case ReadEnd::NoMemory:
+        return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    default:
+        return HTTPResponse::HTTP_BAD_REQUEST;
+    }
+}
+
+HTTPResponse responseWith(int status, const std::string &reason)
+{
+    HTTPResponse response(HTTPResponse::HTTP_1_1, static_cast<HTTPResponse::HTTPStatus>(status));
+    response.setReason(reason.empty() ? HTTPResponse::getReasonForStatus(response.getStatus()) : reason);
+    return response;
+}
+
+/// Head of an upstream's answer for the caller.
+HTTPResponse relayedHead(const Upstreams::UpstreamAnswer &answer)
+{
+    HTTPResponse response = responseWith(answer.status, answer.reason);
+    for (const auto &[name, value] : answer.headers) {
+        response.add(name, value);
+    }
+    const bool bodyless = answer.status == HTTPResponse::HTTP_NO_CONTENT || answer.status == HTTPResponse::HTTP_NOT_MODIFIED;
+    if (!answer.declaredLength.empty()) {
+        response.set(Poco::Net::HTTPMessage::CONTENT_LENGTH, answer.declaredLength);
+    } else if (!bodyless) {
+        response.setContentLength64(static_cast<Poco::Int64>(answer.body.size()));
+    }
+    return response;
+}
+
+HTTPResponse refusalHead(const PassResult &result)
+{
+    HTTPResponse response = responseWith(result.status, {});
+    if (result.retryAfterMs > 0) {
+        response.set("Retry-After", Poco::NumberFormatter::format(static_cast<double>(result.retryAfterMs) / msPerSecond, retryAfterDecimals));
+    }
+    response.setContentLength(0);
+    return response;
+}
+
+} // namespace
+
+CallerSession::CallerSession(SessionContext &context, Poco::Net::StreamSocket socket)
+    : context_(context)
+    , stream_(std::move(socket), context.pass.clock)
+{}
+
+void CallerSession::run()
+{
+    while (serveOne()) {
+        first_ = false;
+    }
+}
+
+Steering::CallerLimits CallerSession::limits() const
+{
+    return context_.pass.roster.read([](const Steering::Roster &roster) { return roster.manifest ? roster.manifest->limits : Steering::CallerLimits(); });
+}
+
+bool CallerSession::serveOne()
+{
+    const Steering::CallerLimits present = limits();
+    const Base::Clock &clock = context_.pass.clock;
+    BodyMemoryLease memory(context_.bodies);
+    CallerRequest request;
+    const Base::MonotonicMs idleUntil = clock.monotonic() + (first_ ? present.headerTimeoutMs : present.idleTimeoutMs);
+    const ReadEnd end = readRequest(stream_, present, idleUntil, clock, memory, request);
+    if (end == ReadEnd::Closed) {
+        return false;
+    }
+    const ActiveRequest active(context_.active, context_.pass.metrics.requestsInFlight());
+    if (end != ReadEnd::Whole) {
+        refuseUnread(end);
+        return false;
+    }
+    const Base::MonotonicMs refuseAfter = context_.refuseAfter.load(std::memory_order_relaxed);
+    if (refuseAfter > 0 && clock.monotonic() >= refuseAfter) {
+        // Another VM takes it at once; here it might not end before the process does.
+        constexpr std::int64_t comeBackMs = 20;
+        return answer(request, {PassEnd::Stopping, {}, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, comeBackMs});
+    }
+    RequestPass pass(context_.pass, request, stream_);
+    return answer(request, pass.run());
+}
+
+bool CallerSession::answer(const CallerRequest &request, PassResult result)
+{
+    if (result.end == PassEnd::CallerGone) {
+        return false;
+    }
+    const bool close = !request.head.getKeepAlive() || context_.stopping.load(std::memory_order_relaxed);
+    if (!sendAnswer(request, result, close)) {
+        return false;
+    }
+    if (close) {
+        stream_.closeGently(context_.pass.clock.monotonic() + lingerMs);
+    }
+    return !close;
+}
+
+bool CallerSession::sendAnswer(const CallerRequest &request, const PassResult &result, bool close)
+{
+    HTTPResponse head = result.end == PassEnd::Answered ? relayedHead(result.answer) : refusalHead(result);
+    head.setKeepAlive(!close);
+    const bool withBody = result.end == PassEnd::Answered && request.head.getMethod() != HTTPRequest::HTTP_HEAD;
+    const std::string text = Http::serialize(head) + (withBody ? result.answer.body : std::string());
+    return stream_.send(text, context_.pass.clock.monotonic() + answerTimeoutMs) == Http::IoState::Ok;
+}
+
+void CallerSession::refuseUnread(ReadEnd end)
+{
+    if (context_.pass.failureLog.tryTake()) {
+        Base::log(Base::LogLevel::Info, "request-unread", {{"cause", std::string(toString(end))}});
+    }
+    constexpr std::int64_t comeBackMs = 500;
+    HTTPResponse head = refusalHead({PassEnd::NotReady, {}, statusOf(end), end == ReadEnd::NoMemory ? comeBackMs : 0});
+    head.setKeepAlive(false);
+    const Base::MonotonicMs now = context_.pass.clock.monotonic();
+    if (stream_.send(Http::serialize(head), now + lingerMs) == Http::IoState::Ok) {
+        stream_.closeGently(now + lingerMs);
+    }
+}
+
+} // namespace Wasabistair::Callers
--- /dev/null
+++ b/src/libs/callers/entryserver.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "callersession.h"
+
+#include <base/settings.h>
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+
+#include <atomic>
+#include <thread>
+
+namespace Wasabistair::Callers {
+
+/// Accepts callers' connections and serves each on a thread of its own.
+class EntryServer
+{
+public:
+    /// Throws Poco::Net::NetException when the address can't be used.
+    EntryServer(SessionContext &context, const Base::HostPort &address, int maxConnections);
+    ~EntryServer();
+    EntryServer(const EntryServer &) = delete;
+    EntryServer &operator=(const EntryServer &) = delete;
+
+private:
+    void acceptLoop();
+    void serve(Poco::Net::StreamSocket socket);
+
+    SessionContext &context_;
+    Poco::Net::ServerSocket socket_;
+    Poco::ThreadPool threads_;
+    std::atomic<bool> closing_{false};
+    std::thread acceptor_;
+};
+
+} // namespace Wasabistair::Callers
--- /dev/null
+++ b/src/libs/callers/passmetrics.cpp
@@ -0,0 +1,109 @@
+#include "passmetrics.h"
+
+namespace Wasabistair::Callers {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+const prometheus::Histogram::BucketBoundaries latencyBounds = {0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 6};
+
+prometheus::Counter &counter(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+std::string_view toString(PassEnd end)
+{
+    switch (end) {
+    case PassEnd::Answered:
+        return "answered";
+    case PassEnd::NotReady:
+        return "not-ready";
+    case PassEnd::NoRoute:
+        return "no-route";
+    case PassEnd::Stopping:
+        return "stopping";
+    case PassEnd::NoUpstream:
+        return "no-upstream";
+    case PassEnd::NoRoom:
+        return "no-room";
+    case PassEnd::UpstreamsRefused:
+        return "upstreams-refused";
+    case PassEnd::DeadlineUnsent:
+        return "deadline-unsent";
+    case PassEnd::DeadlineSent:
+        return "deadline-sent";
+    case PassEnd::OutcomeUnknown:
+        return "outcome-unknown";
+    case PassEnd::CallerGone:
+        return "caller-gone";
+    }
+    return "unknown";
+}
+
+PassMetrics::PassMetrics(prometheus::Registry &registry)
+    : repeats_(counter(registry, "wasabistair_request_repeats_total", "Requests sent to a further upstream."))
+    , repeatsDenied_(counter(registry, "wasabistair_request_repeats_denied_total", "Repeats that the retry budget did not allow."))
+    , latency_(BuildHistogram()
+                   .Name("wasabistair_request_duration_seconds")
+                   .Help("Time from a request's first byte to the end of its answer.")
+                   .Register(registry)
+                   .Add({}, latencyBounds))
+    , connections_(gauge(registry, "wasabistair_caller_connections", "Open connections of callers."))
+    , inFlight_(gauge(registry, "wasabistair_requests_in_flight", "Requests that are being served."))
+    , connectionsRefused_(counter(registry, "wasabistair_caller_connections_refused_total", "Connections closed for want of a thread."))
+{
+    auto &requests = BuildCounter().Name("wasabistair_requests_total").Help("Requests of callers by their end.").Register(registry);
+    for (std::size_t i = 0; i < passEndCount; ++i) {
+        const auto end = static_cast<PassEnd>(i);
+        requests_[end] = &requests.Add({{"end", std::string(toString(end))}});
+    }
+    auto &tries = BuildCounter().Name("wasabistair_upstream_tries_total").Help("Tries at upstreams by their outcome.").Register(registry);
+    for (int i = 0; i <= static_cast<int>(Steering::TryOutcome::Abandoned); ++i) {
+        const auto outcome = static_cast<Steering::TryOutcome>(i);
+        tries_[outcome] = &tries.Add({{"outcome", std::string(Steering::toString(outcome))}});
+    }
+}
+
+void PassMetrics::countRequest(PassEnd end, double seconds)
+{
+    requests_.at(end)->Increment();
+    latency_.Observe(seconds);
+}
+
+void PassMetrics::countTry(Steering::TryOutcome outcome)
+{
+    tries_.at(outcome)->Increment();
+}
+
+void PassMetrics::countRepeat(bool allowed)
+{
+    (allowed ? repeats_ : repeatsDenied_).Increment();
+}
+
+prometheus::Gauge &PassMetrics::connections()
+{
+    return connections_;
+}
+
+prometheus::Gauge &PassMetrics::requestsInFlight()
+{
+    return inFlight_;
+}
+
+void PassMetrics::countConnectionRefused()
+{
+    connectionsRefused_.Increment();
+}
+
+} // namespace Wasabistair::Callers
--- /dev/null
+++ b/src/libs/callers/requestpass.cpp
@@ -0,0 +1,315 @@
+#include "requestpass.h"
+
+#include <base/log.h>
+#include <steering/hash.h>
+
+#include <Poco/Net/HTTPResponse.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <thread>
+
+namespace Wasabistair::Callers {
+
+namespace {
+
+using Poco::Net::HTTPResponse;
+using Steering::TryOutcome;
+using Upstreams::CallEnd;
+
+// Deadline of requests that state none and whose route has none.
+constexpr std::int64_t defaultBudgetMs = 30'000;
+// Waits for room: at most this part of the objective, since a caller that is refused soon can still be served in time.
+constexpr std::int64_t waitPartOfObjective = 8;
+constexpr std::int64_t longestWaitMs = 60;
+constexpr std::int64_t waitStepMs = 15;
+// Upstreams looked at while none can be reached.
+constexpr int maxChoices = 8;
+// Refused callers come back spread over this time; room appears within about the time of one request.
+constexpr std::int64_t roomAfterMs = 120;
+constexpr std::int64_t roomSpreadMs = 280;
+constexpr std::int64_t upstreamAfterMs = 300;
+constexpr std::int64_t upstreamSpreadMs = 400;
+constexpr double msPerSecond = 1000;
+// One in so many requests that went well is logged.
+constexpr std::uint64_t sampledRequests = 64;
+// Fractional part of the golden ratio: successive multiples spread evenly over [0, 1) for any number of them.
+constexpr double goldenFraction = 0.6180339887498949;
+
+double pointOf(std::uint64_t number)
+{
+    const double value = static_cast<double>(number & 0xffffffffULL) * goldenFraction;
+    return value - std::floor(value);
+}
+
+bool isPromise(int status)
+{
+    return status == HTTPResponse::HTTP_TOO_MANY_REQUESTS || status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE
+        || status == HTTPResponse::HTTP_REQUEST_TIMEOUT || status == HTTPResponse::HTTP_MISDIRECTED_REQUEST;
+}
+
+bool hasEncodedBody(const Upstreams::UpstreamAnswer &answer)
+{
+    return std::any_of(answer.headers.begin(), answer.headers.end(), [](const auto &field) { return field.first == "Content-Encoding"; });
+}
+
+TryOutcome outcomeOfAnswer(const Upstreams::UpstreamAnswer &answer)
+{
+    if (answer.facts.wrongInstance) {
+        return TryOutcome::WrongInstance;
+    }
+    if (answer.facts.notExecuted) {
+        const auto &load = answer.facts.load;
+        return load && load->running + load->waiting < load->slots ? TryOutcome::RefusedWithRoom : TryOutcome::RefusedFull;
+    }
+    const bool success = answer.status >= HTTPResponse::HTTP_OK && answer.status < HTTPResponse::HTTP_MULTIPLE_CHOICES;
+    if (hasEncodedBody(answer) || (success && !answer.facts.isSigned)) {
+        return TryOutcome::Broken;
+    }
+    return answer.status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR ? TryOutcome::Failed : TryOutcome::Answered;
+}
+
+TryOutcome outcomeOf(const Upstreams::CallResult &result)
+{
+    switch (result.end) {
+    case CallEnd::Answered:
+        return outcomeOfAnswer(result.answer);
+    case CallEnd::ConnectionRefused:
+        return TryOutcome::NoConnection;
+    case CallEnd::ConnectionTimedOut:
+        return TryOutcome::ConnectTimeout;
+    case CallEnd::Broken:
+        // The upstream may have closed an idle connection just then; that says nothing about its health.
+        return result.reusedConnection ? TryOutcome::StaleConnection : TryOutcome::Broken;
+    case CallEnd::TimedOut:
+        return TryOutcome::Silent;
+    case CallEnd::CallerGone:
+        return TryOutcome::Abandoned;
+    }
+    return TryOutcome::Broken;
+}
+
+bool hasArrived(TryOutcome outcome)
+{
+    return outcome != TryOutcome::NoConnection && outcome != TryOutcome::ConnectTimeout;
+}
+
+bool isNotRun(TryOutcome outcome)
+{
+    return !hasArrived(outcome) || outcome == TryOutcome::RefusedFull || outcome == TryOutcome::RefusedWithRoom || outcome == TryOutcome::WrongInstance;
+}
+
+std::string pathOf(const std::string &target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string hostOf(const Poco::Net::HTTPRequest &request)
+{
+    std::string host = request.getHost();
+    std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+RequestPass::RequestPass(PassContext &context, const CallerRequest &request, const Http::ByteStream &caller)
+    : context_(context)
+    , request_(request)
+    , caller_(caller)
+    , roster_(context.roster.read([](const Steering::Roster &roster) { return roster.shared_from_this(); }))
+    , number_(context.sequence.fetch_add(1, std::memory_order_relaxed))
+{}
+
+PassResult RequestPass::run()
+{
+    PassResult result;
+    const Base::MonotonicMs stop = context_.stopDeadline.load(std::memory_order_relaxed);
+    if (!roster_->manifest) {
+        result = giveUp(PassEnd::NotReady);
+    } else if (const auto *route = Steering::findRoute(*roster_->manifest, hostOf(request_.head), pathOf(request_.head.getURI()))) {
+        const std::int64_t budget = request_.facts.budgetMs.value_or(defaultBudgetMs);
+        deadline_ = request_.arrivedAt + (route->timeoutMs > 0 ? std::min(budget, route->timeoutMs) : budget);
+        deadline_ = stop > 0 ? std::min(deadline_, stop) : deadline_;
+        result = passTo(*route, *roster_);
+    } else {
+        result = giveUp(PassEnd::NoRoute);
+    }
+    logEnd(result);
+    context_.metrics.countRequest(result.end, static_cast<double>(context_.clock.monotonic() - request_.arrivedAt) / msPerSecond);
+    return result;
+}
+
+PassResult RequestPass::passTo(const Steering::RouteRule &route, const Steering::Roster &roster)
+{
+    routeName_ = route.name;
+    service_ = Steering::serviceAt(route, pointOf(number_));
+    const bool keyed = route.sticky && !request_.facts.affinityKey.empty();
+    keyHash_ = Steering::hashOf(keyed ? request_.facts.affinityKey : std::to_string(number_) + request_.facts.requestId);
+    const auto service = roster.services.find(service_);
+    if (service == roster.services.end()) {
+        return giveUp(PassEnd::NoUpstream);
+    }
+    service->second.record->requests.fetch_add(1, std::memory_order_relaxed);
+    service->second.record->retries.countRequest(context_.clock.monotonic(), context_.retryBound);
+    while (true) {
+        if (auto result = tryOnce(route, service->second)) {
+            return std::move(*result);
+        }
+    }
+}
+
+std::optional<PassResult> RequestPass::tryOnce(const Steering::RouteRule &route, const Steering::ServiceRoster &service)
+{
+    const Base::MonotonicMs now = context_.clock.monotonic();
+    if (now >= deadline_) {
+        return atDeadline();
+    }
+    const Steering::Selection selection
+        = Steering::selectUpstream(*roster_, service, {&route, keyHash_, tried_, now}, context_.selectorBounds, context_.flow);
+    lastLoad_ = selection.loadPerSlot;
+    if (selection.end != Steering::SelectionEnd::Selected) {
+        if (selection.end == Steering::SelectionEnd::AllFull && waitForRoom(route)) {
+            return std::nullopt;
+        }
+        if (caller_.isPeerGone()) {
+            return giveUp(PassEnd::CallerGone);
+        }
+        const bool full = selection.end == Steering::SelectionEnd::AllFull;
+        return giveUp(mayHaveRun_ ? PassEnd::OutcomeUnknown : full ? PassEnd::NoRoom : PassEnd::NoUpstream);
+    }
+    ++choices_;
+    Upstreams::CallResult result;
+    const TryOutcome outcome = send(*selection.upstream, route, result);
+    return afterTry(route, service, outcome, result);
+}
+
+TryOutcome RequestPass::send(const Steering::RosterUpstream &upstream, const Steering::RouteRule &route, Upstreams::CallResult &result)
+{
+    const Base::MonotonicMs begin = context_.clock.monotonic();
+    upstream.record->beginTry();
+    Upstreams::UpstreamCall call(context_.channels, context_.clock);
+    result = call.run(upstream.entry, {request_.head, request_.body, request_.facts.requestId, route.idempotent}, caller_, deadline_);
+    const TryOutcome outcome = outcomeOf(result);
+    const Base::MonotonicMs now = context_.clock.monotonic();
+    const auto change = upstream.record->endTry(outcome, now - begin, result.answer.facts.load, now);
+    if (change.before != change.after) {
+        const Steering::UpstreamHealth health = upstream.record->health();
+        Base::log(Base::LogLevel::Info, "upstream-standing",
+            {{"upstream", upstream.entry.id}, {"service", upstream.entry.service}, {"zone", upstream.entry.zone},
+                {"before", std::string(Steering::toString(change.before))}, {"after", std::string(Steering::toString(change.after))},
+                {"outcome", std::string(Steering::toString(outcome))}, {"request", request_.facts.requestId}, {"faults", health.consecutiveFaults},
+                {"failurePercent", static_cast<int>(100 * health.failureShare)}, {"backoffMs", health.backoffMs}});
+    }
+    if (outcome != TryOutcome::Answered && outcome != TryOutcome::Abandoned) {
+        context_.channels.drop(upstream.entry.id);
+    }
+    context_.metrics.countTry(outcome);
+    tried_.push_back(upstream.idHash);
+    lastUpstream_ = upstream.entry.id;
+    lastOutcome_ = Steering::toString(outcome);
+    return outcome;
+}
+
+std::optional<PassResult> RequestPass::afterTry(
+    const Steering::RouteRule &route, const Steering::ServiceRoster &service, TryOutcome outcome, Upstreams::CallResult &result)
+{
+    if (outcome == TryOutcome::Abandoned) {
+        return giveUp(PassEnd::CallerGone);
+    }
+    if (outcome == TryOutcome::Answered) {
+        PassResult answered{PassEnd::Answered, std::move(result.answer), 0, 0};
+        return answered;
+    }
+    const bool arrived = hasArrived(outcome);
+    arrivals_ += arrived ? 1 : 0;
+    mayHaveRun_ = mayHaveRun_ || !isNotRun(outcome);
+    if (outcome == TryOutcome::Silent) {
+        return atDeadline();
+    }
+    const bool repeatable = route.idempotent || !mayHaveRun_;
+    if (repeatable && mayRepeat(route, service, arrived)) {
+        return std::nullopt;
+    }
+    if (outcome == TryOutcome::Failed && !isPromise(result.answer.status) && result.answer.facts.isSigned) {
+        PassResult failed{PassEnd::Answered, std::move(result.answer), 0, 0};
+        return failed;
+    }
+    return giveUp(mayHaveRun_ ? PassEnd::OutcomeUnknown : arrived ? PassEnd::UpstreamsRefused : PassEnd::NoUpstream);
+}
+
+bool RequestPass::mayRepeat(const Steering::RouteRule &route, const Steering::ServiceRoster &service, bool arrived)
+{
+    if (choices_ >= maxChoices || arrivals_ >= route.maxAttempts) {
+        return false;
+    }
+    if (!arrived) {
+        return true;
+    }
+    const bool allowed = service.record->retries.trySpend(context_.clock.monotonic(), context_.retryBound, roster_->fleetSize);
+    context_.metrics.countRepeat(allowed);
+    return allowed;
+}
+
+bool RequestPass::waitForRoom(const Steering::RouteRule &route)
+{
+    const std::int64_t limit = route.objectiveMs > 0 ? std::min(longestWaitMs, route.objectiveMs / waitPartOfObjective) : longestWaitMs;
+    if (waitedMs_ + waitStepMs > limit || context_.clock.monotonic() + waitStepMs >= deadline_ || caller_.isPeerGone()) {
+        return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(waitStepMs));
+    waitedMs_ += waitStepMs;
+    return true;
+}
+
+PassResult RequestPass::atDeadline() const
+{
+    return giveUp(mayHaveRun_ ? PassEnd::DeadlineSent : PassEnd::DeadlineUnsent);
+}
+
+PassResult RequestPass::giveUp(PassEnd end) const
+{
+    PassResult result;
+    result.end = end;
+    const auto spread = [&](std::int64_t after, std::int64_t range) { return after + static_cast<std::int64_t>(pointOf(number_) * static_cast<double>(range)); };
+    switch (end) {
+    case PassEnd::NoRoute:
+        result.status = HTTPResponse::HTTP_NOT_FOUND;
+        break;
+    case PassEnd::OutcomeUnknown:
+        result.status = HTTPResponse::HTTP_BAD_GATEWAY;
+        break;
+    case PassEnd::DeadlineSent:
+        result.status = HTTPResponse::HTTP_GATEWAY_TIMEOUT;
+        break;
+    case PassEnd::NoRoom:
+    case PassEnd::UpstreamsRefused:
+    case PassEnd::DeadlineUnsent:
+        result.status = HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+        result.retryAfterMs = spread(roomAfterMs, roomSpreadMs);
+        break;
+    default:
+        result.status = HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+        result.retryAfterMs = spread(upstreamAfterMs, upstreamSpreadMs);
+        break;
+    }
+    return result;
+}
+
+void RequestPass::logEnd(const PassResult &result) const
+{
+    const bool well = result.end == PassEnd::Answered && result.answer.status < HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
+    if (well ? number_ % sampledRequests != 0 || !context_.sampleLog.tryTake() : !context_.failureLog.tryTake()) {
+        return;
+    }
+    const Base::MonotonicMs now = context_.clock.monotonic();
+    Base::log(Base::LogLevel::Info, "request",
+        {{"request", request_.facts.requestId}, {"end", std::string(toString(result.end))},
+            {"status", result.end == PassEnd::Answered ? result.answer.status : result.status}, {"route", routeName_}, {"service", service_},
+            {"manifest", roster_->manifest ? roster_->manifest->version : 0}, {"upstream", lastUpstream_}, {"outcome", std::string(lastOutcome_)},
+            {"tries", arrivals_}, {"choices", choices_}, {"loadPercent", static_cast<int>(100 * lastLoad_)}, {"waitMs", waitedMs_},
+            {"tookMs", now - request_.arrivedAt}, {"leftMs", deadline_ - now}, {"retryAfterMs", result.retryAfterMs}});
+}
+
+} // namespace Wasabistair::Callers
--- /dev/null
+++ b/src/libs/http/bodydecoder.cpp
@@ -0,0 +1,119 @@
+#include "bodydecoder.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace Wasabistair::Http {
+
+namespace {
+
+constexpr int hexadecimal = 16;
+// Longest line of a chunk's size with its extensions, or of a trailer, in bytes.
+constexpr std::size_t maxLineBytes = 4096;
+constexpr std::size_t maxSizeDigits = 15;
+
+/// The line at @p position without its end; nothing when it is not whole yet.
+std::optional<std::string> takeLine(const std::string &input, std::size_t &position)
+{
+    const std::size_t end = input.find("\r\n", position);
+    if (end == std::string::npos) {
+        return std::nullopt;
+    }
+    std::string line = input.substr(position, end - position);
+    position = end + 2;
+    return line;
+}
+
+} // namespace
+
+BodyDecoder::BodyDecoder(Framing framing, std::uint64_t length)
+    : framing_(framing)
+    , left_(framing == Framing::FixedLength ? length : 0)
+    , state_(framing == Framing::None || (framing == Framing::FixedLength && length == 0) ? BodyState::Complete : BodyState::More)
+{}
+
+BodyState BodyDecoder::feed(std::string &input, std::string &body)
+{
+    if (state_ != BodyState::More) {
+        return state_;
+    }
+    switch (framing_) {
+    case Framing::None:
+        break;
+    case Framing::UntilClose:
+        body += input;
+        input.clear();
+        break;
+    case Framing::FixedLength: {
+        const std::size_t count = std::min<std::uint64_t>(left_, input.size());
+        body.append(input, 0, count);
+        input.erase(0, count);
+        left_ -= count;
+        state_ = left_ == 0 ? BodyState::Complete : BodyState::More;
+        break;
+    }
+    case Framing::Chunked:
+        return feedChunks(input, body);
+    }
+    return state_;
+}
+
+BodyState BodyDecoder::end()
+{
+    if (state_ == BodyState::More) {
+        state_ = framing_ == Framing::UntilClose ? BodyState::Complete : BodyState::Cut;
+    }
+    return state_;
+}
+
+BodyState BodyDecoder::feedChunks(std::string &input, std::string &body)
+{
+    std::size_t position = 0;
+    while (state_ == BodyState::More && stepChunk(input, position, body)) {}
+    if (state_ == BodyState::More && part_ != ChunkPart::Data && input.size() - position > maxLineBytes) {
+        state_ = BodyState::Cut;
+    }
+    input.erase(0, position);
+    return state_;
+}
+
+bool BodyDecoder::stepChunk(std::string &input, std::size_t &position, std::string &body)
+{
+    if (part_ == ChunkPart::Data) {
+        const std::size_t count = std::min<std::uint64_t>(left_, input.size() - position);
+        body.append(input, position, count);
+        position += count;
+        left_ -= count;
+        part_ = left_ == 0 ? ChunkPart::DataEnd : ChunkPart::Data;
+        return left_ == 0;
+    }
+    const auto line = takeLine(input, position);
+    if (!line) {
+        return false;
+    }
+    if (part_ == ChunkPart::Size) {
+        if (!readChunkSize(*line)) {
+            state_ = BodyState::Cut;
+            return false;
+        }
+        part_ = left_ == 0 ? ChunkPart::Trailer : ChunkPart::Data;
+        return true;
+    }
+    if (part_ == ChunkPart::DataEnd) {
+        state_ = line->empty() ? BodyState::More : BodyState::Cut;
+        part_ = ChunkPart::Size;
+        return line->empty();
+    }
+    state_ = line->empty() ? BodyState::Complete : BodyState::More;
+    return true;
+}
+
+bool BodyDecoder::readChunkSize(const std::string &line)
+{
+    const std::string digits = line.substr(0, line.find_first_of("; \t"));
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), left_, hexadecimal);
+    return !digits.empty() && digits.size() <= maxSizeDigits && error == std::errc() && end == digits.data() + digits.size();
+}
+
+} // namespace Wasabistair::Http
--- /dev/null
+++ b/src/libs/http/bytestream.cpp
@@ -0,0 +1,195 @@
+#include "bytestream.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+namespace Wasabistair::Http {
+
+namespace {
+
+constexpr std::size_t receiveBytes = 16 * 1024;
+// poll() takes an int; longer waits are repeated.
+constexpr std::int64_t longestPollMs = 60'000;
+
+int pollTimeout(Base::MonotonicMs deadline, Base::MonotonicMs now)
+{
+    return static_cast<int>(std::clamp<std::int64_t>(deadline - now, 0, longestPollMs));
+}
+
+} // namespace
+
+ByteStream::ByteStream(Poco::Net::StreamSocket socket, const Base::Clock &clock)
+    : socket_(std::move(socket))
+    , clock_(clock)
+{
+    socket_.setNoDelay(true);
+}
+
+IoState ByteStream::waitFor(short events, Base::MonotonicMs deadline, const ByteStream *watched, short &ready) const
+{
+    while (true) {
+        std::array<pollfd, 2> fds = {pollfd{socket_.impl()->sockfd(), events, 0}, pollfd{-1, POLLRDHUP, 0}};
+        if (watched != nullptr) {
+            fds[1].fd = watched->socket_.impl()->sockfd();
+        }
+        const int count = ::poll(fds.data(), fds.size(), pollTimeout(deadline, clock_.monotonic()));
+        if (count < 0 && errno != EINTR) {
+            return IoState::Broken;
+        }
+        if (count > 0 && fds[0].revents != 0) {
+            ready = fds[0].revents;
+            return IoState::Ok;
+        }
+        if (count > 0) {
+            return IoState::Interrupted;
+        }
+        if (clock_.monotonic() >= deadline) {
+            return IoState::TimedOut;
+        }
+    }
+}
+
+IoState ByteStream::readAvailable()
+{
+    const std::size_t before = input_.size();
+    input_.resize(before + receiveBytes);
+    const ssize_t count = ::recv(socket_.impl()->sockfd(), input_.data() + before, receiveBytes, MSG_DONTWAIT);
+    const int error = errno;
+    input_.resize(before + static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    if (count > 0) {
+        return IoState::Ok;
+    }
+    if (count == 0) {
+        return IoState::Closed;
+    }
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR ? IoState::Ok : IoState::Broken;
+}
+
+IoState ByteStream::receive(Base::MonotonicMs deadline, const ByteStream *watched)
+{
+    short ready = 0;
+    const IoState state = waitFor(POLLIN, deadline, watched, ready);
+    return state == IoState::Ok ? readAvailable() : state;
+}
+
+IoState ByteStream::send(std::string_view bytes, Base::MonotonicMs deadline, const ByteStream *watched)
+{
+    while (!bytes.empty()) {
+        const ssize_t count = ::send(socket_.impl()->sockfd(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count >= 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+            continue;
+        }
+        if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+            return IoState::Broken;
+        }
+        short ready = 0;
+        if (const IoState state = waitFor(POLLOUT, deadline, watched, ready); state != IoState::Ok) {
+            return state;
+        }
+    }
+    return IoState::Ok;
+}
+
+IoState ByteStream::exchange(std::string_view &unsent, Base::MonotonicMs deadline, const ByteStream *watched)
+{
+    if (!unsent.empty()) {
+        const ssize_t count = ::send(socket_.impl()->sockfd(), unsent.data(), unsent.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count > 0) {
+            unsent.remove_prefix(static_cast<std::size_t>(count));
+        } else if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+            // What the peer sent before it broke the connection may still be read.
+            return readAvailable() == IoState::Ok && !input_.empty() ? IoState::Ok : IoState::Broken;
+        }
+    }
+    short ready = 0;
+    const auto events = static_cast<short>(unsent.empty() ? POLLIN : POLLIN | POLLOUT);
+    if (const IoState state = waitFor(events, deadline, watched, ready); state != IoState::Ok) {
+        return state;
+    }
+    return (ready & ~POLLOUT) != 0 ? readAvailable() : IoState::Ok;
+}
+
+IoState ByteStream::waitUntilWritable(Base::MonotonicMs deadline, const ByteStream *watched) const
+{
+    short ready = 0;
+    return waitFor(POLLOUT, deadline, watched, ready);
+}
+
+std::string &ByteStream::input()
+{
+    return input_;
+}
+
+bool ByteStream::isReadable() const
+{
+    pollfd fd{socket_.impl()->sockfd(), POLLIN | POLLRDHUP, 0};
+    return ::poll(&fd, 1, 0) != 0;
+}
+
+bool ByteStream::isPeerGone() const
+{
+    pollfd fd{socket_.impl()->sockfd(), POLLRDHUP, 0};
+    return ::poll(&fd, 1, 0) != 0;
+}
+
+void ByteStream::closeGently(Base::MonotonicMs deadline)
+{
+    ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
+    while (receive(deadline) == IoState::Ok) {
+        input_.clear();
+    }
+}
+
+void ByteStream::abort()
+{
+    const linger hard{1, 0};
+    ::setsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    socket_.close();
+}
+
+Poco::Net::StreamSocket &ByteStream::socket()
+{
+    return socket_;
+}
+
+void applyCare(Poco::Net::StreamSocket &socket, const ConnectionCare &care)
+{
+    const int fd = socket.impl()->sockfd();
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &care.keepAliveIdleSeconds, sizeof care.keepAliveIdleSeconds);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &care.keepAliveIntervalSeconds, sizeof care.keepAliveIntervalSeconds);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &care.keepAliveProbes, sizeof care.keepAliveProbes);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &care.userTimeoutMs, sizeof care.userTimeoutMs);
+}
+
+std::unique_ptr<ByteStream> connectTo(
+    const Base::HostPort &address, Base::MonotonicMs deadline, const Base::Clock &clock, IoState &state, const ByteStream *watched)
+{
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connectNB(Poco::Net::SocketAddress(address.host, address.port));
+        auto stream = std::make_unique<ByteStream>(std::move(socket), clock);
+        state = stream->waitUntilWritable(deadline, watched);
+        if (state == IoState::Ok && stream->socket().impl()->socketError() != 0) {
+            state = IoState::Broken;
+        }
+        return state == IoState::Ok ? std::move(stream) : nullptr;
+    } catch (const Poco::Exception &) {
+        // An unreachable address is a normal case; the state reports it.
+        state = IoState::Broken;
+        return nullptr;
+    }
+}
+
+} // namespace Wasabistair::Http
--- /dev/null
+++ b/src/libs/http/messagehead.cpp
@@ -0,0 +1,106 @@
+#include "messagehead.h"
+
+#include "headers.h"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace Wasabistair::Http {
+
+namespace {
+
+constexpr int maxFields = 200;
+
+template<typename Message>
+bool parse(const std::string &head, Message &message)
+{
+    try {
+        message.setFieldLimit(maxFields);
+        Poco::MemoryInputStream stream(head.data(), static_cast<std::streamsize>(head.size()));
+        message.read(stream);
+        return true;
+    } catch (const Poco::Exception &) {
+        // Malformed heads are the caller's normal case and are reported by the result.
+        return false;
+    }
+}
+
+template<typename Message>
+std::string toText(const Message &message)
+{
+    std::ostringstream stream;
+    message.write(stream);
+    return stream.str();
+}
+
+std::optional<std::uint64_t> parseLength(const std::string &text)
+{
+    std::uint64_t length = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+    return error == std::errc() && end == text.data() + text.size() ? std::optional(length) : std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::string> takeHead(std::string &input)
+{
+    // Empty lines before a request line are allowed (RFC 9112 section 2.2).
+    const std::size_t start = std::min(input.find_first_not_of("\r\n"), input.size());
+    const std::size_t end = input.find("\r\n\r\n", start);
+    if (end == std::string::npos) {
+        return std::nullopt;
+    }
+    std::string head = input.substr(start, end + 4 - start);
+    input.erase(0, end + 4);
+    return head;
+}
+
+bool parseRequest(const std::string &head, Poco::Net::HTTPRequest &request)
+{
+    return parse(head, request);
+}
+
+bool parseResponse(const std::string &head, Poco::Net::HTTPResponse &response)
+{
+    return head.starts_with("HTTP/1.") && parse(head, response);
+}
+
+std::optional<BodyFrame> responseFrame(const std::string &method, const Poco::Net::HTTPResponse &response)
+{
+    const int status = response.getStatus();
+    const bool bodyless = method == Poco::Net::HTTPRequest::HTTP_HEAD || status < Poco::Net::HTTPResponse::HTTP_OK
+        || status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT || status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+    if (bodyless) {
+        return BodyFrame{Framing::None, 0};
+    }
+    const auto lengths = headerValues(response, Poco::Net::HTTPMessage::CONTENT_LENGTH);
+    const auto encodings = headerValues(response, Poco::Net::HTTPMessage::TRANSFER_ENCODING);
+    if (lengths.size() > 1 || encodings.size() > 1 || (!lengths.empty() && !encodings.empty())) {
+        return std::nullopt;
+    }
+    if (!encodings.empty()) {
+        return Poco::icompare(encodings.front(), "chunked") == 0 ? std::optional(BodyFrame{Framing::Chunked, 0}) : std::nullopt;
+    }
+    if (lengths.empty()) {
+        return BodyFrame{Framing::UntilClose, 0};
+    }
+    const auto length = parseLength(lengths.front());
+    return length ? std::optional(BodyFrame{Framing::FixedLength, *length}) : std::nullopt;
+}
+
+std::string serialize(const Poco::Net::HTTPRequest &request)
+{
+    return toText(request);
+}
+
+std::string serialize(const Poco::Net::HTTPResponse &response)
+{
+    return toText(response);
+}
+
+} // namespace Wasabistair::Http
--- /dev/null
+++ b/src/libs/nodes/peerlink.cpp
@@ -0,0 +1,144 @@
+#include "peerlink.h"
+
+#include <base/log.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace Wasabistair::Nodes {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Signs of life a second bound traffic: about 6 kB/s at 680 VMs in 10 zones (docs/CAPACITY.md).
+constexpr std::int64_t tickMs = 700;
+constexpr std::int64_t receiveWaitMs = 1'000;
+// A digest of a zone of 68 VMs takes about 2 kB.
+constexpr std::size_t maxDatagramBytes = 8 * 1024;
+constexpr std::size_t maxReports = 256;
+constexpr std::size_t fieldsPerReport = 4;
+
+std::optional<PeerReport> decodeReport(const Json &json)
+{
+    const bool good = json.is_array() && json.size() == fieldsPerReport && json[0].is_string() && json[1].is_number_unsigned() && json[2].is_boolean()
+        && json[3].is_number_integer();
+    if (!good) {
+        return std::nullopt;
+    }
+    return PeerReport{json[0].get<std::string>(), json[1].get<std::uint64_t>(), json[2].get<bool>(), json[3].get<std::int64_t>()};
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encodeDatagram(const PeerDatagram &datagram)
+{
+    Json reports = Json::array();
+    for (const PeerReport &report : datagram.reports) {
+        reports.push_back({report.vm, report.incarnation, report.takesCallers, report.ageMs});
+    }
+    return Json::to_cbor(Json::array({datagram.question, std::move(reports)}));
+}
+
+std::optional<PeerDatagram> decodeDatagram(const std::uint8_t *bytes, std::size_t size)
+{
+    const Json json = Json::from_cbor(bytes, bytes + size, true, false);
+    if (!json.is_array() || json.size() != 2 || !json[0].is_boolean() || !json[1].is_array() || json[1].size() > maxReports) {
+        return std::nullopt;
+    }
+    PeerDatagram datagram{json[0].get<bool>(), {}};
+    for (const Json &entry : json[1]) {
+        const auto report = decodeReport(entry);
+        if (!report) {
+            return std::nullopt;
+        }
+        datagram.reports.push_back(*report);
+    }
+    return datagram;
+}
+
+PeerLink::PeerLink(PeerBoard &board, const std::string &ip, std::uint16_t port, const Base::Clock &clock, std::uint64_t seed)
+    : board_(board)
+    , clock_(clock)
+    , random_(seed)
+{
+    socket_.bind(Poco::Net::SocketAddress(ip, port), true);
+    receiver_ = std::thread([this] { receiveLoop(); });
+    ticker_ = std::make_unique<Base::Worker>([this] { return tick(); });
+}
+
+PeerLink::~PeerLink()
+{
+    closing_ = true;
+    ticker_->stop();
+    receiver_.join();
+}
+
+void PeerLink::announce(const std::vector<Steering::EntryVm> &vms)
+{
+    const PeerDatagram datagram{false, {board_.selfReport()}};
+    for (const Steering::EntryVm &vm : vms) {
+        send(datagram, {vm.ip, vm.peerPort});
+    }
+}
+
+std::int64_t PeerLink::tick()
+{
+    const Base::MonotonicMs now = clock_.monotonic();
+    announce(board_.zonePeers());
+    const PeerDatagram question{true, {board_.selfReport()}};
+    for (const Steering::EntryVm &vm : board_.oneOfEachOtherZone(now, random_())) {
+        send(question, {vm.ip, vm.peerPort});
+    }
+    for (const PeerChange &change : board_.takeChanges(now)) {
+        Base::log(Base::LogLevel::Info, change.living ? "peer-living" : "peer-silent", {{"vm", change.vm}, {"ageMs", change.ageMs}});
+    }
+    return tickMs;
+}
+
+void PeerLink::receiveLoop()
+{
+    std::array<std::uint8_t, maxDatagramBytes> buffer;
+    while (!closing_) {
+        try {
+            if (!socket_.poll(Poco::Timespan(receiveWaitMs * Poco::Timespan::MILLISECONDS), Poco::Net::Socket::SELECT_READ)) {
+                continue;
+            }
+            Poco::Net::SocketAddress sender;
+            const int size = socket_.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
+            const auto datagram = size > 0 ? decodeDatagram(buffer.data(), static_cast<std::size_t>(size)) : std::nullopt;
+            if (!datagram) {
+                Base::log(Base::LogLevel::Debug, "datagram-unreadable", {{"sender", sender.toString()}, {"bytes", size}});
+                continue;
+            }
+            const Base::MonotonicMs now = clock_.monotonic();
+            for (const PeerReport &report : datagram->reports) {
+                board_.take(report, now);
+            }
+            if (datagram->question) {
+                send({false, board_.zoneDigest(now)}, sender);
+            }
+        } catch (const Poco::Exception &error) {
+            // An unreachable peer shows as an error of the next receive; it is judged by its silence.
+            Base::log(Base::LogLevel::Debug, "datagram-failed", {{"cause", error.displayText()}});
+        }
+    }
+}
+
+void PeerLink::send(const PeerDatagram &datagram, const Poco::Net::SocketAddress &address)
+{
+    const std::vector<std::uint8_t> bytes = encodeDatagram(datagram);
+    try {
+        socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()), address);
+    } catch (const Poco::Exception &error) {
+        // Lost datagrams are normal; the peer is judged by its silence.
+        Base::log(Base::LogLevel::Debug, "datagram-not-sent", {{"receiver", address.toString()}, {"cause", error.displayText()}});
+    }
+}
+
+} // namespace Wasabistair::Nodes
--- /dev/null
+++ b/src/libs/steering/coldshare.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Wasabistair::Steering {
+
+/// Bound on requests to one cold upstream, summed over all VMs.
+struct ColdBound {
+    /// Requests a second that the upstream bears.
+    double requestsPerSecond = 0;
+    /// Tolerated multiple of that rate.
+    double factor = 1;
+    /// Requests tolerated beyond it in any second.
+    double slack = 0;
+
+    auto operator<=>(const ColdBound &) const = default;
+};
+
+/// This VM's part of a ColdBound.
+struct ColdShare {
+    /// Whether this VM may send to the upstream at all.
+    bool eligible = false;
+    /// Time between two requests, in ms.
+    std::int64_t intervalMs = 0;
+
+    auto operator<=>(const ColdShare &) const = default;
+};
+
+/// Divides @p bound so that all eligible VMs together stay below it in every second.
+///
+/// In any second a VM sends at most 1 + 1000 / intervalMs requests. With m eligible VMs and an interval of 1000 m / r the
+/// sum is m + r, so m is limited by the slack and r by the rate. @p fleetSize counts registered VMs, living or not: VMs
+/// that are only believed dead still count. @p rank is this VM's place in an order of all VMs that depends on the upstream.
+[[nodiscard]] ColdShare coldShare(const ColdBound &bound, int fleetSize, int rank);
+
+} // namespace Wasabistair::Steering
--- /dev/null
+++ b/src/libs/steering/retrywindow.cpp
@@ -0,0 +1,60 @@
+#include "retrywindow.h"
+
+#include <algorithm>
+
+namespace Wasabistair::Steering {
+
+namespace {
+
+// Part of the bound that is used: requests leave callers and reach upstreams at other times than they pass here.
+constexpr double usedPart = 0.8;
+
+std::int64_t bucketMs(const RetryBound &bound, int buckets)
+{
+    return std::max<std::int64_t>(1, bound.windowMs / (buckets - 1));
+}
+
+} // namespace
+
+RetryWindow::Bucket &RetryWindow::bucketAt(std::int64_t nowMs, const RetryBound &bound)
+{
+    const std::int64_t index = nowMs / bucketMs(bound, bucketCount);
+    Bucket &bucket = buckets_.at(static_cast<std::size_t>(index % bucketCount));
+    if (bucket.index != index) {
+        bucket = {index, 0, 0};
+    }
+    return bucket;
+}
+
+void RetryWindow::countRequest(std::int64_t nowMs, const RetryBound &bound)
+{
+    const std::lock_guard lock(mutex_);
+    ++bucketAt(nowMs, bound).requests;
+}
+
+bool RetryWindow::trySpend(std::int64_t nowMs, const RetryBound &bound, int fleetSize)
+{
+    const std::lock_guard lock(mutex_);
+    Bucket &present = bucketAt(nowMs, bound);
+    std::int64_t requests = 0;
+    std::int64_t repeats = 0;
+    for (const Bucket &bucket : buckets_) {
+        if (bucket.index > present.index - bucketCount && bucket.index <= present.index) {
+            requests += bucket.requests;
+            repeats += bucket.repeats;
+        }
+    }
+    // The last bucket of the window is only partly inside it: requests are counted without it, repeats with it.
+    const Bucket &oldest = buckets_.at(static_cast<std::size_t>((present.index + 1) % bucketCount));
+    if (oldest.index == present.index + 1 - bucketCount) {
+        requests -= oldest.requests;
+    }
+    const double allowed = usedPart * (bound.ratio * static_cast<double>(requests) + bound.slack / std::max(1, fleetSize));
+    if (static_cast<double>(repeats + 1) > allowed) {
+        return false;
+    }
+    ++present.repeats;
+    return true;
+}
+
+} // namespace Wasabistair::Steering
--- /dev/null
+++ b/src/libs/steering/roster.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "manifest.h"
+#include "regionpreference.h"
+#include "retrywindow.h"
+#include "upstreamentry.h"
+#include "upstreamrecord.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Wasabistair::Steering {
+
+/// Observations of one service that outlive rosters.
+struct ServiceRecord {
+    RetryWindow retries;
+    /// Share of keys that go to the VM's own region; negative until first computed.
+    std::atomic<double> localShare{-1};
+    /// Requests of callers; the share stays at its first value until there are some.
+    std::atomic<std::uint64_t> requests{0};
+    /// Most urgent priority of any route of the service.
+    std::atomic<int> topPriority{0};
+};
+
+/// One upstream that requests may go to.
+struct RosterUpstream {
+    UpstreamEntry entry;
+    std::string region;
+    std::uint64_t idHash = 0;
+    bool local = false;
+    bool evacuated = false;
+    /// Index of the region in the sorted list of all regions.
+    std::size_t regionIndex = 0;
+    /// When this VM first saw it; 0 for those that were there when the VM started.
+    std::int64_t joinedAtMs = 0;
+    /// This VM's place among all VMs for the upstream's cold share.
+    int coldRank = 0;
+    std::shared_ptr<UpstreamRecord> record;
+};
+
+struct ServiceRoster {
+    ServiceRule rule;
+    std::vector<RosterUpstream> upstreams;
+    std::shared_ptr<ServiceRecord> record;
+};
+
+/// Everything that a request's choice reads; immutable, replaced as a whole.
+struct Roster: public std::enable_shared_from_this<Roster> {
+    /// Null until the first manifest is known.
+    std::shared_ptr<const Manifest> manifest;
+    std::map<std::string, ServiceRoster, std::less<>> services;
+    /// Registered VMs, living or not; at least 1.
+    int fleetSize = 1;
+};
+
+/// Place of this VM in Zone and region.
+struct Whereabouts {
+    std::string vm;
+    std::string zone;
+    std::string region;
+    /// Region of each zone.
+    std::map<std::string, std::string> regionOfZone;
+
+    bool operator==(const Whereabouts &) const = default;
+};
+
+/// What rosters are built from.
+struct RosterSources {
+    std::shared_ptr<const Manifest> manifest;
+    std::map<std::string, UpstreamEntry> upstreams;
+    std::set<std::string> evacuatedZones;
+    /// Names of all registered VMs, this one included.
+    std::set<std::string> vms;
+};
+
+/// Builds rosters and keeps the records of upstreams and services from one roster to the next. Not thread-safe.
+class RosterBuilder
+{
+public:
+    explicit RosterBuilder(Whereabouts whereabouts);
+
+    [[nodiscard]] std::shared_ptr<const Roster> build(const RosterSources &sources, std::int64_t nowMs);
+
+private:
+    struct Known {
+        std::int64_t startedAtMs = 0;
+        std::int64_t joinedAtMs = 0;
+        std::int64_t coldLeftMs = 0;
+        bool evacuated = false;
+        std::shared_ptr<UpstreamRecord> record;
+    };
+
+    RosterUpstream rosterUpstream(const UpstreamEntry &entry, const RosterSources &sources, std::int64_t nowMs);
+    Known &knownUpstream(const UpstreamEntry &entry, std::int64_t nowMs);
+    void forgetAllBut(const std::map<std::string, UpstreamEntry> &upstreams);
+    [[nodiscard]] int coldRank(std::uint64_t idHash, const std::set<std::string> &vms) const;
+
+    const Whereabouts whereabouts_;
+    std::vector<std::string> regions_;
+    std::map<std::string, Known> known_;
+    std::map<std::string, std::shared_ptr<ServiceRecord>> services_;
+    bool established_ = false;
+};
+
+/// Room of @p service by region, from estimates of this VM; upstreams that take no requests don't count.
+[[nodiscard]] RegionRoom regionRoom(const ServiceRoster &service, std::int64_t nowMs);
+
+} // namespace Wasabistair::Steering
--- /dev/null
+++ b/src/libs/steering/upstreamchoice.cpp
@@ -0,0 +1,86 @@
+#include "upstreamchoice.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace Wasabistair::Steering {
+
+namespace {
+
+// Load per slot up to which the first, second, … upstream of a key takes one more request. Waiting for an upstream that
+// knows the object costs less than running at one that doesn't, so the first bound is the highest.
+constexpr std::array<double, rankedLimit> softLimits = {1.75, 1.25, 1.0, 1.0, 1.0, 1.0};
+
+std::uint64_t mixed(std::uint64_t value)
+{
+    // Finalizer of SplitMix64.
+    value ^= value >> 30;
+    value *= 0xbf58476d1ce4e5b9ULL;
+    value ^= value >> 27;
+    value *= 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+bool isUsable(const UpstreamView &view)
+{
+    return !view.excluded && view.standing != Standing::Suspended;
+}
+
+double weightOf(const UpstreamView &view, const ChoiceQuery &query)
+{
+    return view.slots * view.ramp * (view.local ? query.localPreference : 1.0);
+}
+
+double loadPerSlot(const UpstreamView &view)
+{
+    return view.load / std::max(1, view.slots);
+}
+
+} // namespace
+
+double rendezvousScore(std::uint64_t idHash, std::uint64_t keyHash, double weight)
+{
+    constexpr double scale = 1.0 / 9007199254740992.0; // 2^-53
+    const double uniform = (static_cast<double>(mixed(idHash ^ mixed(keyHash)) >> 11) + 0.5) * scale;
+    return weight > 0 ? -std::log(uniform) / weight : HUGE_VAL;
+}
+
+std::vector<std::size_t> rankUpstreams(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query)
+{
+    std::vector<std::pair<double, std::size_t>> scored;
+    scored.reserve(upstreams.size());
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+        if (isUsable(upstreams[i])) {
+            scored.emplace_back(rendezvousScore(upstreams[i].idHash, query.keyHash, weightOf(upstreams[i], query)), i);
+        }
+    }
+    const std::size_t count = std::min(rankedLimit, scored.size());
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end());
+    std::vector<std::size_t> order(count);
+    std::transform(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), order.begin(), [](const auto &entry) { return entry.second; });
+    return order;
+}
+
+std::optional<std::size_t> chooseUpstream(
+    const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const std::function<bool(std::size_t)> &mayUse)
+{
+    const std::vector<std::size_t> order = rankUpstreams(upstreams, query);
+    for (std::size_t place = 0; place < order.size(); ++place) {
+        const UpstreamView &view = upstreams[order[place]];
+        if (loadPerSlot(view) < std::min(softLimits[place], query.hardLimit) && mayUse(order[place])) {
+            return order[place];
+        }
+    }
+    std::vector<std::size_t> rest;
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+        if (isUsable(upstreams[i]) && loadPerSlot(upstreams[i]) < query.hardLimit) {
+            rest.push_back(i);
+        }
+    }
+    std::sort(rest.begin(), rest.end(), [&](std::size_t left, std::size_t right) { return loadPerSlot(upstreams[left]) < loadPerSlot(upstreams[right]); });
+    const auto taken = std::find_if(rest.begin(), rest.end(), mayUse);
+    return taken == rest.end() ? std::nullopt : std::optional(*taken);
+}
+
+} // namespace Wasabistair::Steering
--- /dev/null
+++ b/src/libs/upstreams/upstreamcall.cpp
@@ -0,0 +1,229 @@
+#include "upstreamcall.h"
+
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace Wasabistair::Upstreams {
+
+namespace {
+
+// A new connection takes two network delays; 70 ms between regions and a lost packet's second try are far below this.
+constexpr std::int64_t connectTimeoutMs = 400;
+// An unacknowledged request is given up by the kernel well before usual route timeouts of 800 ms and more.
+constexpr Http::ConnectionCare upstreamCare{1'200, 1, 1, 2};
+// An upstream closes idle connections without notice; a request that may run only once must not meet that.
+constexpr std::int64_t maxIdleOnceMs = 1'500;
+constexpr std::int64_t maxIdleIdempotentMs = 5'000;
+// Idle time of connections to upstreams that state no timeout of their own.
+constexpr std::int64_t defaultKeepMs = 4'000;
+// Part of the stated timeout after which a connection is no longer used.
+constexpr std::int64_t keepNumerator = 3;
+constexpr std::int64_t keepDenominator = 5;
+constexpr std::int64_t msPerSecond = 1'000;
+constexpr std::size_t maxHeadBytes = 64 << 10;
+// Answers are held whole so that an idempotent request can be tried again when one is cut.
+constexpr std::size_t maxAnswerBytes = 64 << 20;
+// Answers to other requests that are passed over before the connection is given up.
+constexpr int maxForeignAnswers = 2;
+
+CallEnd endOf(Http::IoState state)
+{
+    switch (state) {
+    case Http::IoState::TimedOut:
+        return CallEnd::TimedOut;
+    case Http::IoState::Interrupted:
+        return CallEnd::CallerGone;
+    default:
+        return CallEnd::Broken;
+    }
+}
+
+/// The timeout parameter of a Keep-Alive header, in ms; 0 when there is none.
+std::int64_t statedKeepMs(const std::string &keepAlive)
+{
+    const std::size_t at = keepAlive.find("timeout=");
+    std::int64_t seconds = 0;
+    if (at != std::string::npos) {
+        const char *digits = keepAlive.data() + at + std::string_view("timeout=").size();
+        std::from_chars(digits, keepAlive.data() + keepAlive.size(), seconds);
+    }
+    return seconds * msPerSecond;
+}
+
+} // namespace
+
+std::string_view toString(CallEnd end)
+{
+    switch (end) {
+    case CallEnd::Answered:
+        return "answered";
+    case CallEnd::ConnectionRefused:
+        return "connection-refused";
+    case CallEnd::ConnectionTimedOut:
+        return "connection-timed-out";
+    case CallEnd::Broken:
+        return "broken";
+    case CallEnd::TimedOut:
+        return "timed-out";
+    case CallEnd::CallerGone:
+        return "caller-gone";
+    }
+    return "unknown";
+}
+
+UpstreamCall::UpstreamCall(ChannelPool &pool, const Base::Clock &clock)
+    : pool_(pool)
+    , clock_(clock)
+{}
+
+CallResult UpstreamCall::run(
+    const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, const Http::ByteStream &caller, Base::MonotonicMs deadline)
+{
+    caller_ = &caller;
+    deadline_ = deadline;
+    CallResult result;
+    result.end = connect(upstream, request, caller, deadline, result.reusedConnection);
+    if (result.end != CallEnd::Answered) {
+        return result;
+    }
+    const std::string text = requestText(upstream, request, deadline);
+    unsent_ = text;
+    result.end = readAnswer(request, result.answer);
+    if (result.end == CallEnd::Answered && reusable_ && unsent_.empty() && stream_->input().empty()) {
+        pool_.give(upstream.id, std::move(stream_), keepAliveMs_);
+    }
+    // Closing a connection on which the request may still run cancels it.
+    stream_.reset();
+    return result;
+}
+
+CallEnd UpstreamCall::connect(const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, const Http::ByteStream &caller,
+    Base::MonotonicMs deadline, bool &reused)
+{
+    stream_ = pool_.take(upstream.id, request.idempotent ? maxIdleIdempotentMs : maxIdleOnceMs);
+    reused = stream_ != nullptr;
+    if (reused) {
+        return CallEnd::Answered;
+    }
+    const Base::MonotonicMs limit = std::min(deadline, clock_.monotonic() + connectTimeoutMs);
+    Http::IoState state = Http::IoState::Ok;
+    stream_ = Http::connectTo({upstream.host, upstream.port}, limit, clock_, state, &caller);
+    if (stream_) {
+        Http::applyCare(stream_->socket(), upstreamCare);
+        return CallEnd::Answered;
+    }
+    if (state == Http::IoState::Interrupted) {
+        return CallEnd::CallerGone;
+    }
+    return state == Http::IoState::TimedOut ? CallEnd::ConnectionTimedOut : CallEnd::ConnectionRefused;
+}
+
+std::string UpstreamCall::requestText(const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, Base::MonotonicMs deadline) const
+{
+    Poco::Net::HTTPRequest head(request.head.getMethod(), request.head.getURI(), Poco::Net::HTTPRequest::HTTP_1_1);
+    const std::int64_t leftMs = std::max<std::int64_t>(1, deadline - clock_.monotonic());
+    for (const auto &[name, value] : Adapter::upstreamHeaders(request.head, upstream.id, leftMs)) {
+        head.add(name, value);
+    }
+    const bool hadBody = request.head.has(Poco::Net::HTTPRequest::CONTENT_LENGTH) || request.head.has(Poco::Net::HTTPRequest::TRANSFER_ENCODING);
+    if (hadBody) {
+        head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+    }
+    return Http::serialize(head) + request.body;
+}
+
+CallEnd UpstreamCall::receive()
+{
+    const Http::IoState state = stream_->exchange(unsent_, deadline_, caller_);
+    return state == Http::IoState::Ok ? CallEnd::Answered : endOf(state);
+}
+
+CallEnd UpstreamCall::readHead(Poco::Net::HTTPResponse &response)
+{
+    while (true) {
+        auto head = Http::takeHead(stream_->input());
+        if (!head) {
+            if (stream_->input().size() > maxHeadBytes) {
+                return CallEnd::Broken;
+            }
+            if (const CallEnd end = receive(); end != CallEnd::Answered) {
+                return end;
+            }
+            continue;
+        }
+        response.clear();
+        if (!Http::parseResponse(*head, response)) {
+            return CallEnd::Broken;
+        }
+        if (response.getStatus() >= Poco::Net::HTTPResponse::HTTP_OK) {
+            return CallEnd::Answered;
+        }
+    }
+}
+
+CallEnd UpstreamCall::readBody(const Http::BodyFrame &frame, std::string &body)
+{
+    Http::BodyDecoder decoder(frame.framing, frame.length);
+    while (true) {
+        const Http::BodyState state = decoder.feed(stream_->input(), body);
+        if (state == Http::BodyState::Complete) {
+            return CallEnd::Answered;
+        }
+        if (state == Http::BodyState::Cut || body.size() > maxAnswerBytes) {
+            return CallEnd::Broken;
+        }
+        const Http::IoState io = stream_->exchange(unsent_, deadline_, caller_);
+        if (io == Http::IoState::Closed) {
+            return decoder.end() == Http::BodyState::Complete ? CallEnd::Answered : CallEnd::Broken;
+        }
+        if (io != Http::IoState::Ok) {
+            return endOf(io);
+        }
+    }
+}
+
+CallEnd UpstreamCall::readAnswer(const ForwardedRequest &request, UpstreamAnswer &answer)
+{
+    for (int foreign = 0; foreign <= maxForeignAnswers; ++foreign) {
+        Poco::Net::HTTPResponse response;
+        if (const CallEnd end = readHead(response); end != CallEnd::Answered) {
+            return end;
+        }
+        const auto frame = Http::responseFrame(request.head.getMethod(), response);
+        if (!frame) {
+            return CallEnd::Broken;
+        }
+        answer.body.clear();
+        if (const CallEnd end = readBody(*frame, answer.body); end != CallEnd::Answered) {
+            return end;
+        }
+        answer.facts = Adapter::decodeAnswerFacts(response);
+        const bool endsWithConnection = frame->framing == Http::Framing::UntilClose;
+        if (answer.facts.requestId != request.requestId && !answer.facts.requestId.empty()) {
+            if (endsWithConnection) {
+                return CallEnd::Broken;
+            }
+            continue;
+        }
+        answer.status = response.getStatus();
+        answer.reason = response.getReason();
+        answer.headers = Http::endToEndHeaders(response);
+        if (frame->framing == Http::Framing::None) {
+            answer.declaredLength = response.get(Poco::Net::HTTPMessage::CONTENT_LENGTH, "");
+        }
+        noteReuse(response, endsWithConnection);
+        return CallEnd::Answered;
+    }
+    return CallEnd::Broken;
+}
+
+void UpstreamCall::noteReuse(const Poco::Net::HTTPResponse &response, bool endsWithConnection)
+{
+    reusable_ = !endsWithConnection && response.getKeepAlive();
+    const std::int64_t stated = statedKeepMs(response.get("Keep-Alive", ""));
+    keepAliveMs_ = stated > 0 ? stated * keepNumerator / keepDenominator : defaultKeepMs;
+}
+
+} // namespace Wasabistair::Upstreams
--- /dev/null
+++ b/src/libs/upstreams/upstreamcall.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "channelpool.h"
+
+#include <http/messagehead.h>
+#include <platform/messages.h>
+#include <steering/roster.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Wasabistair::Upstreams {
+
+/// One caller's request as it goes to upstreams.
+struct ForwardedRequest {
+    const Poco::Net::HTTPRequest &head;
+    const std::string &body;
+    const std::string &requestId;
+    bool idempotent = false;
+};
+
+/// A whole answer of an upstream.
+struct UpstreamAnswer {
+    int status = 0;
+    std::string reason;
+    Http::HeaderList headers;
+    std::string body;
+    /// Value of the length header when the answer has no body of its own (HEAD); empty otherwise.
+    std::string declaredLength;
+    Adapter::AnswerFacts facts;
+
+    bool operator==(const UpstreamAnswer &) const = default;
+};
+
+enum class CallEnd {
+    Answered,
+    /// Nothing was sent: the address refused the connection.
+    ConnectionRefused,
+    /// Nothing was sent: no connection in time.
+    ConnectionTimedOut,
+    /// Sent; the connection broke, or what came is no whole answer to this request.
+    Broken,
+    /// Sent; no whole answer until the deadline.
+    TimedOut,
+    /// The caller closed its connection.
+    CallerGone,
+};
+
+[[nodiscard]] std::string_view toString(CallEnd end);
+
+struct CallResult {
+    CallEnd end = CallEnd::Broken;
+    /// Set when end is Answered.
+    UpstreamAnswer answer;
+    bool reusedConnection = false;
+
+    bool operator==(const CallResult &) const = default;
+};
+
+/// Sends one request to one upstream and reads the whole answer.
+class UpstreamCall
+{
+public:
+    UpstreamCall(ChannelPool &pool, const Base::Clock &clock);
+
+    /// @p caller: its close ends the call. @p deadline bounds everything.
+    [[nodiscard]] CallResult run(
+        const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, const Http::ByteStream &caller, Base::MonotonicMs deadline);
+
+private:
+    [[nodiscard]] CallEnd connect(const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, const Http::ByteStream &caller,
+        Base::MonotonicMs deadline, bool &reused);
+    [[nodiscard]] std::string requestText(const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, Base::MonotonicMs deadline) const;
+    [[nodiscard]] CallEnd readAnswer(const ForwardedRequest &request, UpstreamAnswer &answer);
+    [[nodiscard]] CallEnd readHead(Poco::Net::HTTPResponse &response);
+    [[nodiscard]] CallEnd readBody(const Http::BodyFrame &frame, std::string &body);
+    [[nodiscard]] CallEnd receive();
+    void noteReuse(const Poco::Net::HTTPResponse &response, bool endsWithConnection);
+
+    ChannelPool &pool_;
+    const Base::Clock &clock_;
+    std::unique_ptr<Http::ByteStream> stream_;
+    std::string_view unsent_;
+    const Http::ByteStream *caller_ = nullptr;
+    Base::MonotonicMs deadline_ = 0;
+    bool reusable_ = false;
+    std::int64_t keepAliveMs_ = 0;
+};
+
+} // namespace Wasabistair::Upstreams
--- a/src/tools/main.cpp
+++ b/src/tools/main.cpp
@@ -148,7 +148,7 @@
     options.baseGeneration = settings.integer("base-generation");
     options.waitMs = settings.integer("wait-ms");
     options.limit = settings.integer("limit");
-    Base::configureLog(Base::LogLevel::Warning);
+    Base::configureLog(Base::LogLevel::Warning, Base::LogOutput::StandardError);
     Platform::HttpObjectStore store(*Base::parseHostPort(settings.text("platform")), static_cast<int>(settings.integer("platform-timeout-ms")));
     return static_cast<int>(dispatch(settings, options, store));
 }
