--- a/src/libs/steering/upstreamchoice.cpp
+++ b/src/libs/steering/upstreamchoice.cpp
@@ -10,7 +10,9 @@
 
 // Load per slot up to which the first, second, … upstream of a key takes one more request. Waiting for an upstream that
 // knows the object costs less than running at one that doesn't, so the first bound is the highest.
-constexpr std::array<double, rankedLimit> softLimits = {1.75, 1.25, 1.0, 1.0, 1.0, 1.0};
+constexpr std::array<double, rankedLimit> softLimits = {2.6, 1.5, 0.7};
+// Any other upstream runs the request without knowing the object, which takes several times as long: only idle ones do.
+constexpr double idleLoad = 0.4;
 
 std::uint64_t mixed(std::uint64_t value)
 {
@@ -74,7 +76,7 @@
     }
     std::vector<std::size_t> rest;
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
-        if (isUsable(upstreams[i]) && loadPerSlot(upstreams[i]) < query.hardLimit) {
+        if (isUsable(upstreams[i]) && loadPerSlot(upstreams[i]) < std::min(idleLoad, query.hardLimit)) {
             rest.push_back(i);
         }
     }
--- a/src/libs/steering/upstreamchoice.h
+++ b/src/libs/steering/upstreamchoice.h
@@ -48,7 +48,7 @@
 /// Indices of usable upstreams in the order of the key; at most rankedLimit.
 [[nodiscard]] std::vector<std::size_t> rankUpstreams(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query);
 
-/// The first upstream in the key's order with room; else the least loaded below the hard limit; else nothing.
+/// The first upstream in the key's order with room; else the least loaded idle one; else nothing.
 ///
 /// @p mayUse is asked last, once for each upstream that would be taken, and may refuse it: rate gates and moves between
 /// regions are counted there.
@@ -56,6 +56,6 @@
     const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const std::function<bool(std::size_t)> &mayUse);
 
 /// Upstreams of a key that are looked at in its order.
-constexpr std::size_t rankedLimit = 6;
+constexpr std::size_t rankedLimit = 3;
 
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamhealth.cpp
+++ b/src/libs/steering/upstreamhealth.cpp
@@ -19,7 +19,7 @@
 
 bool isFault(TryOutcome outcome)
 {
-    return outcome == TryOutcome::NoConnection || outcome == TryOutcome::ConnectTimeout || outcome == TryOutcome::Broken || outcome == TryOutcome::Silent;
+    return outcome == TryOutcome::NoConnection || outcome == TryOutcome::ConnectTimeout || outcome == TryOutcome::Broken;
 }
 
 bool isFailure(TryOutcome outcome)
@@ -73,7 +73,8 @@
 
 UpstreamHealth afterTry(UpstreamHealth health, TryOutcome outcome, std::int64_t nowMs)
 {
-    if (outcome == TryOutcome::Abandoned || outcome == TryOutcome::RefusedFull || outcome == TryOutcome::StaleConnection) {
+    if (outcome == TryOutcome::Abandoned || outcome == TryOutcome::RefusedFull || outcome == TryOutcome::StaleConnection
+        || outcome == TryOutcome::Silent) {
         return health;
     }
     const double newest = isFailure(outcome) ? 1.0 : 0.0;
