--- /dev/null
+++ b/tests/auto/steering/tst_budgets.cpp
@@ -0,0 +1,158 @@
+#include <doctest/doctest.h>
+
+#include <steering/coldshare.h>
+#include <steering/rategate.h>
+#include <steering/regionpreference.h>
+#include <steering/retrywindow.h>
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+using namespace Wasabistair::Steering;
+
+namespace {
+
+constexpr std::int64_t second = 1'000;
+
+/// Largest number of moments in any span of @p spanMs.
+int largestInSpan(const std::vector<std::int64_t> &moments, std::int64_t spanMs)
+{
+    int largest = 0;
+    for (std::size_t i = 0; i < moments.size(); ++i) {
+        int count = 0;
+        for (std::size_t j = i; j < moments.size() && moments[j] < moments[i] + spanMs; ++j) {
+            ++count;
+        }
+        largest = std::max(largest, count);
+    }
+    return largest;
+}
+
+} // namespace
+
+TEST_CASE("rateGate_anyMoments_admitsAtMostOneAnInterval")
+{
+    RateGate gate;
+    CHECK(gate.tryPass(100, 50));
+    CHECK_FALSE(gate.tryPass(149, 50));
+    CHECK(gate.tryPass(150, 50));
+}
+
+TEST_CASE("coldShare_allVmsSendAllTheyMay_sumStaysBelowTheBoundInEverySecond")
+{
+    CHECK(rc::check([] {
+        const ColdBound bound{static_cast<double>(*rc::gen::inRange(4, 40)), 1.5, static_cast<double>(*rc::gen::inRange(3, 10))};
+        const int vms = *rc::gen::inRange(1, 200);
+        std::vector<RateGate> gates(static_cast<std::size_t>(vms));
+        std::vector<std::int64_t> sent;
+        for (std::int64_t now = 0; now < 4 * second; ++now) {
+            for (int rank = 0; rank < vms; ++rank) {
+                const ColdShare share = coldShare(bound, vms, rank);
+                if (share.eligible && gates[static_cast<std::size_t>(rank)].tryPass(now, share.intervalMs)) {
+                    sent.push_back(now);
+                }
+            }
+        }
+        RC_ASSERT(largestInSpan(sent, second) <= bound.requestsPerSecond * bound.factor + bound.slack);
+        RC_ASSERT(!sent.empty());
+    }));
+}
+
+TEST_CASE("retryWindow_allVmsRepeatAllTheyMay_sumStaysWithinTheBoundInEveryWindow")
+{
+    CHECK(rc::check([] {
+        const RetryBound bound{0.2, static_cast<double>(*rc::gen::inRange(0, 80)), 10 * second};
+        const int vms = *rc::gen::inRange(1, 20);
+        std::vector<std::unique_ptr<RetryWindow>> windows;
+        for (int i = 0; i < vms; ++i) {
+            windows.push_back(std::make_unique<RetryWindow>());
+        }
+        std::vector<std::int64_t> requests;
+        std::vector<std::int64_t> repeats;
+        std::int64_t now = 0;
+        const int steps = *rc::gen::inRange(1, 600);
+        for (int i = 0; i < steps; ++i) {
+            now += *rc::gen::inRange(0, 200);
+            RetryWindow &window = *windows[static_cast<std::size_t>(*rc::gen::inRange(0, vms))];
+            window.countRequest(now, bound);
+            requests.push_back(now);
+            while (window.trySpend(now, bound, vms)) {
+                repeats.push_back(now);
+            }
+        }
+        for (const std::int64_t from : repeats) {
+            const auto inWindow = [&](std::int64_t moment) { return moment >= from && moment < from + bound.windowMs; };
+            const auto asked = static_cast<double>(std::count_if(requests.begin(), requests.end(), inWindow));
+            const auto repeated = static_cast<double>(std::count_if(repeats.begin(), repeats.end(), inWindow));
+            // The bound takes the requests of this window, the one before or the one between, whichever has most.
+            const auto before = static_cast<double>(std::count_if(requests.begin(), requests.end(), [&](std::int64_t m) { return inWindow(m + bound.windowMs); }));
+            const auto between
+                = static_cast<double>(std::count_if(requests.begin(), requests.end(), [&](std::int64_t m) { return inWindow(m + bound.windowMs / 2); }));
+            RC_ASSERT(repeated <= bound.ratio * std::max({asked, before, between}) + bound.slack);
+        }
+    }));
+}
+
+TEST_CASE("retryWindow_noRequestsAndNoSlack_allowsNothing")
+{
+    RetryWindow window;
+    CHECK_FALSE(window.trySpend(5, {0.2, 0, 10 * second}, 1));
+}
+
+TEST_CASE("regionFlow_crowdLeavesItsRegion_shareMovesWithinTheBound")
+{
+    constexpr std::int64_t window = 2 * second;
+    RegionFlow flow(0.15, window);
+    std::vector<std::pair<std::int64_t, std::size_t>> ran;
+    for (std::int64_t now = 0; now < 20 * second; now += 10) {
+        // After five seconds every request would rather run in region 1.
+        const std::size_t region = now > 5 * second && flow.mayMoveTo(1, now) ? 1 : 0;
+        flow.count(region, now);
+        ran.emplace_back(now, region);
+    }
+    for (std::int64_t from = 0; from + 2 * window <= 20 * second; from += 100) {
+        const auto share = [&](std::int64_t begin) {
+            double inRegion = 0;
+            double total = 0;
+            for (const auto &[moment, region] : ran) {
+                if (moment >= begin && moment < begin + window) {
+                    inRegion += region == 1 ? 1 : 0;
+                    total += 1;
+                }
+            }
+            return inRegion / total;
+        };
+        CHECK(share(from + window) - share(from) <= 0.15);
+    }
+    CHECK(ran.back().second == 1);
+}
+
+TEST_CASE("localShare_crowdedRegion_movesSlowlyAndComesBack")
+{
+    const RegionRoom crowded{12, 84, 1.2, 0.4};
+    const RegionRoom roomy{12, 84, 0.3, 0.4};
+    double share = initialLocalShare(crowded, 3);
+    CHECK(share == doctest::Approx(0.3375));
+    const double before = share;
+    for (int i = 0; i < 4; ++i) {
+        share = nextLocalShare(share, crowded, 500);
+    }
+    CHECK(before - share > 0);
+    CHECK(before - share <= 0.15 / 2);
+    for (int i = 0; i < 400; ++i) {
+        share = nextLocalShare(share, roomy, 500);
+    }
+    CHECK(share == 1.0);
+}
+
+TEST_CASE("localPreference_anyShare_yieldsThatShareOfTheWeight")
+{
+    const RegionRoom room{12, 84, 0, 0};
+    for (const double share : {0.1, 0.3, 0.5, 0.9}) {
+        const double preference = localPreference(share, room);
+        CHECK(preference * 12 / (preference * 12 + 84) == doctest::Approx(share));
+    }
+}
--- /dev/null
+++ b/tests/auto/steering/tst_roster.cpp
@@ -0,0 +1,181 @@
+#include <doctest/doctest.h>
+
+#include <steering/lookup.h>
+#include <steering/roster.h>
+#include <steering/upstreamselector.h>
+
+#include <map>
+
+using namespace Wasabistair::Steering;
+
+namespace {
+
+constexpr std::int64_t start = 1'000'000;
+
+struct RosterFixture {
+    RosterFixture()
+    {
+        Manifest manifest;
+        manifest.version = 1;
+        manifest.services["s"] = {300, 3'000, 12};
+        manifest.routes.push_back(route);
+        sources.manifest = std::make_shared<const Manifest>(manifest);
+        sources.vms = {"vm-1", "vm-2", "vm-3"};
+        for (int i = 0; i < 4; ++i) {
+            add("u" + std::to_string(i), i < 2 ? "north-a" : "south-a");
+        }
+        rebuild(start);
+    }
+
+    void add(const std::string &id, const std::string &zone, std::int64_t coldLeftMs = 0)
+    {
+        sources.upstreams[id] = {id, "s", "10.0.0.1", 80, zone, "v1", 4, false, coldLeftMs, 5};
+    }
+
+    void rebuild(std::int64_t nowMs)
+    {
+        roster = builder.build(sources, nowMs);
+    }
+
+    [[nodiscard]] Selection select(std::uint64_t key, std::int64_t nowMs)
+    {
+        return selectUpstream(*roster, roster->services.at("s"), {&route, key, {}, nowMs}, {}, flow);
+    }
+
+    /// Upstreams that take requests of many keys at one moment, and how many.
+    std::map<std::string, int> spread(std::int64_t nowMs)
+    {
+        std::map<std::string, int> counts;
+        for (std::uint64_t key = 0; key < 500; ++key) {
+            const Selection selection = select(key, nowMs);
+            if (selection.upstream != nullptr) {
+                ++counts[selection.upstream->entry.id];
+            }
+        }
+        return counts;
+    }
+
+    RouteRule route{"r", "h", "/", true, 800, 300, 0, {{"s", 1}}, 2, true, {}};
+    RosterBuilder builder{{"vm-1", "north-a", "north", {{"north-a", "north"}, {"south-a", "south"}}}};
+    RosterSources sources;
+    std::shared_ptr<const Roster> roster;
+    RegionFlow flow{0.15, 2'000};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RosterFixture, "select_upstreamIsLeaving_getsNothing")
+{
+    sources.upstreams["u1"].leaving = true;
+    rebuild(start);
+    CHECK_FALSE(spread(start).contains("u1"));
+    CHECK(spread(start).contains("u0"));
+}
+
+TEST_CASE_FIXTURE(RosterFixture, "select_zoneIsEvacuated_getsNothingAndComesBackCold")
+{
+    sources.evacuatedZones = {"north-a"};
+    rebuild(start);
+    CHECK(spread(start).size() == 2);
+    sources.evacuatedZones.clear();
+    rebuild(start + 5'000);
+    // One request at most from this VM to each cold upstream at one moment.
+    const auto counts = spread(start + 5'000);
+    for (const char *id : {"u0", "u1"}) {
+        CHECK((counts.contains(id) ? counts.at(id) : 0) <= 1);
+    }
+    CHECK(spread(start + 8'001).at("u0") > 1);
+}
+
+TEST_CASE_FIXTURE(RosterFixture, "select_upstreamReportsCold_isHeldToItsRate")
+{
+    add("u9", "north-a", 3'000);
+    rebuild(start);
+    int sent = 0;
+    for (std::int64_t now = start; now < start + 1'000; now += 5) {
+        for (std::uint64_t key = 0; key < 20; ++key) {
+            const Selection selection = select(key, now);
+            sent += selection.upstream != nullptr && selection.upstream->entry.id == "u9" ? 1 : 0;
+        }
+    }
+    // The bound of 12 x 1.5 + 5 is for three VMs together.
+    CHECK(sent <= 23 / 3);
+    CHECK(sent >= 1);
+}
+
+TEST_CASE_FIXTURE(RosterFixture, "select_routeHasHomes_neverLeavesThem")
+{
+    route.homeRegions = {"south"};
+    const auto counts = spread(start);
+    CHECK(counts.size() == 2);
+    CHECK(counts.contains("u2"));
+    CHECK(counts.contains("u3"));
+}
+
+TEST_CASE_FIXTURE(RosterFixture, "select_noUpstreamLeft_saysSo")
+{
+    sources.upstreams.clear();
+    rebuild(start);
+    CHECK((select(1, start).end == SelectionEnd::NoUpstream));
+}
+
+TEST_CASE_FIXTURE(RosterFixture, "select_allFull_saysSo")
+{
+    for (const RosterUpstream &upstream : roster->services.at("s").upstreams) {
+        for (int i = 0; i < 11; ++i) {
+            upstream.record->beginTry();
+        }
+    }
+    CHECK((select(1, start).end == SelectionEnd::AllFull));
+}
+
+TEST_CASE_FIXTURE(RosterFixture, "build_upstreamStartsAgainUnderItsId_losesItsHistory")
+{
+    roster->services.at("s").upstreams.front().record->beginTry();
+    const std::string id = roster->services.at("s").upstreams.front().entry.id;
+    rebuild(start + 1);
+    CHECK(roster->services.at("s").upstreams.front().record->inFlight() == 1);
+    sources.upstreams[id].startedAtMs = 6;
+    rebuild(start + 2);
+    CHECK(roster->services.at("s").upstreams.front().record->inFlight() == 0);
+}
+
+TEST_CASE_FIXTURE(RosterFixture, "build_serviceIsNotInTheManifest_namesNoUpstream")
+{
+    sources.upstreams["odd"] = {"odd", "unknown", "10.0.0.1", 80, "north-a", "v1", 4, false, 0, 5};
+    rebuild(start);
+    CHECK(roster->services.size() == 1);
+    CHECK(roster->services.at("s").upstreams.size() == 4);
+}
+
+TEST_CASE("entriesFor_regionHasVms_namesThemByCapacity")
+{
+    EntryVm small{"small", "a", "north", "10.0.0.1", 80, 81, 1, 0.1, 10};
+    EntryVm large{"large", "a", "north", "10.0.0.2", 80, 81, 1, 0.5, 200};
+    EntryVm other{"other", "b", "north", "10.0.0.4", 80, 81, 1, 0.5, 200};
+    EntryVm far{"far", "c", "south", "10.0.0.3", 80, 81, 1, 0.5, 200};
+    std::map<std::string, int> named;
+    unsigned state = 1;
+    const auto random = [&] {
+        state = state * 1664525U + 1013904223U;
+        return static_cast<double>(state >> 8) / (1U << 24);
+    };
+    for (int i = 0; i < 1'000; ++i) {
+        const auto vms = entriesFor("north", {small, large, other, far}, random);
+        CHECK(vms.size() >= 2);
+        for (const EntryVm &vm : vms) {
+            ++named[vm.name];
+        }
+    }
+    CHECK_FALSE(named.contains("far"));
+    CHECK(named["large"] == 1'000);
+    CHECK(named["small"] == doctest::Approx(200).epsilon(0.3));
+}
+
+TEST_CASE("entriesFor_regionHasNone_namesAllOthers")
+{
+    EntryVm far{"far", "c", "south", "10.0.0.3", 80, 81, 1, 0.5, 200};
+    const auto vms = entriesFor("north", {far}, [] { return 0.5; });
+    REQUIRE(vms.size() == 1);
+    CHECK(vms.front().name == "far");
+}
