--- a/src/libs/steering/upstreamchoice.cpp
+++ b/src/libs/steering/upstreamchoice.cpp
@@ -10,7 +10,7 @@
 
 // Load per slot up to which the first, second, … upstream of a key takes one more request. Waiting for an upstream that
 // knows the object costs less than running at one that doesn't, so the first bound is the highest.
-constexpr std::array<double, rankedLimit> softLimits = {2.6, 1.5, 0.7};
+constexpr std::array<double, rankedLimit> softLimits = {3.4, 1.5, 0.7};
 // Any other upstream runs the request without knowing the object, which takes several times as long: only idle ones do.
 constexpr double idleLoad = 0.4;
 
--- a/src/libs/steering/upstreamselector.cpp
+++ b/src/libs/steering/upstreamselector.cpp
@@ -10,7 +10,7 @@
 constexpr double rampMs = 6'000;
 constexpr double firstRamp = 0.2;
 // Load per slot up to which requests are added; beyond it they would wait longer than a refused caller.
-constexpr double hardLimit = 2.6;
+constexpr double hardLimit = 3.4;
 // Less urgent requests leave this part of the room to the more urgent ones of the same service.
 constexpr double urgentReserve = 0.15;
 constexpr double leastUrgentLimit = 1.2;
