--- a/tests/auto/adapter/tst_kindfollower.cpp
+++ b/tests/auto/adapter/tst_kindfollower.cpp
@@ -59,13 +59,13 @@
         return false;
     }
 
-    static constexpr std::int64_t watchMs = 30'000;
+    static constexpr FollowerPace pace{30'000, 0};
 
     std::mutex mutex;
     std::set<std::string> names;
     StandIns::ObjectStoreStandIn store;
     Base::SystemClock clock;
-    KindFollower follower{"things", {"127.0.0.1", store.port()}, watchMs, clock, callbacks(), 1};
+    KindFollower follower{"things", {"127.0.0.1", store.port()}, pace, clock, callbacks(), 1};
 };
 
 } // namespace
