--- a/src/app/entrynode.cpp
+++ b/src/app/entrynode.cpp
@@ -33,8 +33,8 @@
 constexpr std::int64_t lookupAgeFactor = 3;
 // Part of the stop's grace, in percent, after which new requests are refused; the rest is for those under way.
 constexpr std::int64_t refusePercent = 55;
-// What remains of the grace when the process ends by itself.
-constexpr std::int64_t exitMarginMs = 300;
+// What remains of the grace when the process ends by itself; on a starved processor its last steps take hundreds of ms.
+constexpr std::int64_t exitMarginMs = 600;
 constexpr std::int64_t stopPollMs = 20;
 // Threads that serve callers share descriptors with connections to upstreams.
 constexpr std::int64_t descriptorsPerConnection = 2;
@@ -129,7 +129,7 @@
         const std::lock_guard lock(randomMutex_);
         return std::uniform_real_distribution<double>(0, 1)(random_);
     };
-    const auto vms = Steering::entriesFor(query->region, query->zone, board_.takingCallers(clock_.monotonic()), random);
+    const auto vms = Steering::entriesFor(query->region, board_.takingCallers(clock_.monotonic()), random);
     if (vms.empty()) {
         return emptyAnswer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
     }
--- a/src/libs/steering/lookup.h
+++ b/src/libs/steering/lookup.h
@@ -12,14 +12,12 @@
 /// Requests a second that a VM may be asked to carry, by its processor and its link.
 [[nodiscard]] double carryingCapacity(const EntryVm &vm);
 
-/// VMs for a caller in @p zone of @p region, out of the living ones.
+/// VMs for a caller in @p region, out of the living ones.
 ///
-/// Those of the caller's zone when it has its part of the region's capacity, else those of its region, or of all regions
-/// when it has none. Callers pick one at random, so a VM is named as often
+/// Those of the caller's region, or of all regions when it has none. Callers pick one at random, so a VM is named as often
 /// as its capacity is to the largest one's. At least two are named when there are two: a caller that meets a dead one needs
 /// another. @p random returns numbers in [0, 1).
-[[nodiscard]] std::vector<EntryVm> entriesFor(
-    const std::string &region, const std::string &zone, const std::vector<EntryVm> &living, const std::function<double()> &random);
+[[nodiscard]] std::vector<EntryVm> entriesFor(const std::string &region, const std::vector<EntryVm> &living, const std::function<double()> &random);
 
 /// Most VMs that one answer names.
 constexpr std::size_t maxEntries = 64;
