--- a/src/libs/callers/requestpass.cpp
+++ b/src/libs/callers/requestpass.cpp
@@ -32,6 +32,10 @@
 constexpr std::int64_t upstreamAfterMs = 300;
 constexpr std::int64_t upstreamSpreadMs = 400;
 constexpr double msPerSecond = 1000;
+// An upstream is silent when it took this many times the latency objective and had not answered.
+constexpr std::int64_t timesObjectiveForSilence = 2;
+// A service's silent share follows some fifty tries, about a second of a VM's requests.
+constexpr double weightInService = 0.02;
 // One in so many requests that went well is logged.
 constexpr std::uint64_t sampledRequests = 64;
 // Fractional part of the golden ratio: successive multiples spread evenly over [0, 1) for any number of them.
@@ -180,27 +184,28 @@
     }
     ++choices_;
     Upstreams::CallResult result;
-    const TryOutcome outcome = send(*selection.upstream, route, result);
+    const TryOutcome outcome = send(*selection.upstream, route, *service.record, result);
     return afterTry(route, service, outcome, result);
 }
 
-TryOutcome RequestPass::send(const Steering::RosterUpstream &upstream, const Steering::RouteRule &route, Upstreams::CallResult &result)
+TryOutcome RequestPass::send(
+    const Steering::RosterUpstream &upstream, const Steering::RouteRule &route, Steering::ServiceRecord &service, Upstreams::CallResult &result)
 {
     const Base::MonotonicMs begin = context_.clock.monotonic();
     upstream.record->beginTry();
     Upstreams::UpstreamCall call(context_.channels, context_.clock);
     result = call.run(upstream.entry, {request_.head, request_.body, request_.facts.requestId, route.idempotent}, caller_, deadline_);
-    const TryOutcome outcome = outcomeOf(result);
     const Base::MonotonicMs now = context_.clock.monotonic();
-    const auto change = upstream.record->endTry(outcome, now - begin, result.answer.facts.load, now);
-    if (change.before != change.after) {
-        const Steering::UpstreamHealth health = upstream.record->health();
-        Base::log(Base::LogLevel::Info, "upstream-standing",
-            {{"upstream", upstream.entry.id}, {"service", upstream.entry.service}, {"zone", upstream.entry.zone},
-                {"before", std::string(Steering::toString(change.before))}, {"after", std::string(Steering::toString(change.after))},
-                {"outcome", std::string(Steering::toString(outcome))}, {"request", request_.facts.requestId}, {"faults", health.consecutiveFaults},
-                {"failurePercent", static_cast<int>(100 * health.failureShare)}, {"backoffMs", health.backoffMs}});
+    const TryOutcome outcome = outcomeOf(result);
+    // A caller that waits for less than requests usually take says nothing about the upstream.
+    const bool telling = outcome != TryOutcome::Silent || now - begin >= timesObjectiveForSilence * route.objectiveMs;
+    if (telling && (outcome == TryOutcome::Answered || outcome == TryOutcome::Silent)) {
+        const double share = service.silentShare.load(std::memory_order_relaxed);
+        service.silentShare.store(Steering::nextSilentShare(share, outcome == TryOutcome::Silent, weightInService), std::memory_order_relaxed);
     }
+    const double silentShare = service.silentShare.load(std::memory_order_relaxed);
+    noteStanding(
+        upstream, upstream.record->endTry(telling ? outcome : TryOutcome::Abandoned, now - begin, result.answer.facts.load, silentShare, now), outcome);
     if (outcome != TryOutcome::Answered && outcome != TryOutcome::Abandoned) {
         context_.channels.drop(upstream.entry.id);
     }
@@ -211,6 +216,20 @@
     return outcome;
 }
 
+void RequestPass::noteStanding(const Steering::RosterUpstream &upstream, const Steering::UpstreamRecord::StandingChange &change, TryOutcome outcome) const
+{
+    if (change.before == change.after) {
+        return;
+    }
+    const Steering::UpstreamHealth health = upstream.record->health();
+    Base::log(Base::LogLevel::Info, "upstream-standing",
+        {{"upstream", upstream.entry.id}, {"service", upstream.entry.service}, {"zone", upstream.entry.zone},
+            {"before", std::string(Steering::toString(change.before))}, {"after", std::string(Steering::toString(change.after))},
+            {"outcome", std::string(Steering::toString(outcome))}, {"request", request_.facts.requestId}, {"faults", health.consecutiveFaults},
+            {"failurePercent", static_cast<int>(100 * health.failureShare)}, {"silentPercent", static_cast<int>(100 * health.silentShare)},
+            {"backoffMs", health.backoffMs}});
+}
+
 std::optional<PassResult> RequestPass::afterTry(
     const Steering::RouteRule &route, const Steering::ServiceRoster &service, TryOutcome outcome, Upstreams::CallResult &result)
 {
--- a/src/libs/callers/requestpass.h
+++ b/src/libs/callers/requestpass.h
@@ -57,7 +57,9 @@
 private:
     [[nodiscard]] PassResult passTo(const Steering::RouteRule &route, const Steering::Roster &roster);
     [[nodiscard]] std::optional<PassResult> tryOnce(const Steering::RouteRule &route, const Steering::ServiceRoster &service);
-    [[nodiscard]] Steering::TryOutcome send(const Steering::RosterUpstream &upstream, const Steering::RouteRule &route, Upstreams::CallResult &result);
+    [[nodiscard]] Steering::TryOutcome send(
+        const Steering::RosterUpstream &upstream, const Steering::RouteRule &route, Steering::ServiceRecord &service, Upstreams::CallResult &result);
+    void noteStanding(const Steering::RosterUpstream &upstream, const Steering::UpstreamRecord::StandingChange &change, Steering::TryOutcome outcome) const;
     [[nodiscard]] std::optional<PassResult> afterTry(
         const Steering::RouteRule &route, const Steering::ServiceRoster &service, Steering::TryOutcome outcome, Upstreams::CallResult &result);
     [[nodiscard]] bool mayRepeat(const Steering::RouteRule &route, const Steering::ServiceRoster &service, bool arrived);
--- a/src/libs/steering/roster.cpp
+++ b/src/libs/steering/roster.cpp
@@ -111,7 +111,8 @@
 {
     RegionRoom room;
     for (const RosterUpstream &upstream : service.upstreams) {
-        if (upstream.entry.leaving || upstream.evacuated || upstream.record->standingAt(nowMs) == Standing::Suspended) {
+        if (upstream.entry.leaving || upstream.evacuated
+            || upstream.record->standingAt(service.record->silentShare.load(std::memory_order_relaxed), nowMs) == Standing::Suspended) {
             continue;
         }
         const double load = upstream.record->loadAt(nowMs);
--- a/src/libs/steering/roster.h
+++ b/src/libs/steering/roster.h
@@ -20,6 +20,8 @@
     RetryWindow retries;
     /// Share of keys that go to the VM's own region; negative until first computed.
     std::atomic<double> localShare{-1};
+    /// Share of this VM's tries at any upstream that met their deadline, exponentially weighted.
+    std::atomic<double> silentShare{0};
     /// Requests of callers; the share stays at its first value until there are some.
     std::atomic<std::uint64_t> requests{0};
     /// Most urgent priority of any route of the service.
--- a/src/libs/steering/upstreamhealth.cpp
+++ b/src/libs/steering/upstreamhealth.cpp
@@ -16,6 +16,11 @@
 constexpr int samplesUntilTrusted = 4;
 constexpr int samplesLimit = 1'000;
 constexpr double failureShareOfProbation = 0.3;
+// Three deadlines in a row reach the share from nothing; three answers undo it.
+constexpr double weightOfNewestSilence = 0.2;
+constexpr double silentShareOfProbation = 0.4;
+// A third of the upstreams may hang and still be told from a crowd, which meets deadlines everywhere.
+constexpr double timesServiceSilentShare = 1.8;
 
 bool isFault(TryOutcome outcome)
 {
@@ -73,7 +78,11 @@
 
 UpstreamHealth afterTry(UpstreamHealth health, TryOutcome outcome, std::int64_t nowMs)
 {
-    if (outcome == TryOutcome::Abandoned || outcome == TryOutcome::RefusedFull || outcome == TryOutcome::StaleConnection || outcome == TryOutcome::Silent) {
+    if (outcome == TryOutcome::Abandoned || outcome == TryOutcome::RefusedFull || outcome == TryOutcome::StaleConnection) {
+        return health;
+    }
+    health.silentShare = nextSilentShare(health.silentShare, outcome == TryOutcome::Silent, weightOfNewestSilence);
+    if (outcome == TryOutcome::Silent) {
         return health;
     }
     const double newest = isFailure(outcome) ? 1.0 : 0.0;
@@ -95,13 +104,19 @@
     return health;
 }
 
-Standing standingAt(const UpstreamHealth &health, std::int64_t nowMs)
+double nextSilentShare(double share, bool silent, double weight)
+{
+    return share + weight * ((silent ? 1.0 : 0.0) - share);
+}
+
+Standing standingAt(const UpstreamHealth &health, double serviceSilentShare, std::int64_t nowMs)
 {
     if (nowMs < health.suspendedUntilMs) {
         return Standing::Suspended;
     }
     const bool failing = health.samples >= samplesUntilTrusted && health.failureShare > failureShareOfProbation;
-    return nowMs < health.probationUntilMs || failing || health.consecutiveFaults > 0 ? Standing::Probation : Standing::Sound;
+    const bool hanging = health.silentShare > std::max(silentShareOfProbation, timesServiceSilentShare * serviceSilentShare);
+    return nowMs < health.probationUntilMs || failing || hanging || health.consecutiveFaults > 0 ? Standing::Probation : Standing::Sound;
 }
 
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamhealth.h
+++ b/src/libs/steering/upstreamhealth.h
@@ -52,6 +52,8 @@
     double failureShare = 0;
     /// Tries that failureShare is drawn from, up to a small limit.
     int samples = 0;
+    /// Share of tries that met their deadline, exponentially weighted.
+    double silentShare = 0;
     std::int64_t suspendedUntilMs = 0;
     std::int64_t backoffMs = 0;
     /// Until then requests come back at the pace of probation; set when a suspension ends.
@@ -63,6 +65,11 @@
 /// State after a try that ended at @p nowMs.
 [[nodiscard]] UpstreamHealth afterTry(UpstreamHealth health, TryOutcome outcome, std::int64_t nowMs);
 
-[[nodiscard]] Standing standingAt(const UpstreamHealth &health, std::int64_t nowMs);
+/// @p serviceSilentShare: silent share of the whole service. In a crowd all upstreams meet deadlines; one that meets them
+/// while the others answer is slow or hangs, and is put on probation.
+[[nodiscard]] Standing standingAt(const UpstreamHealth &health, double serviceSilentShare, std::int64_t nowMs);
+
+/// @p share after one more try, weighted exponentially.
+[[nodiscard]] double nextSilentShare(double share, bool silent, double weight);
 
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamrecord.cpp
+++ b/src/libs/steering/upstreamrecord.cpp
@@ -17,7 +17,8 @@
     inFlight_.fetch_add(1, std::memory_order_relaxed);
 }
 
-UpstreamRecord::StandingChange UpstreamRecord::endTry(TryOutcome outcome, std::int64_t latencyMs, const std::optional<ReportedLoad> &load, std::int64_t nowMs)
+UpstreamRecord::StandingChange UpstreamRecord::endTry(
+    TryOutcome outcome, std::int64_t latencyMs, const std::optional<ReportedLoad> &load, double serviceSilentShare, std::int64_t nowMs)
 {
     noteLoad(outcome, load, nowMs);
     inFlight_.fetch_sub(1, std::memory_order_relaxed);
@@ -28,9 +29,9 @@
     }
     const std::lock_guard lock(mutex_);
     StandingChange change;
-    change.before = Steering::standingAt(health_, nowMs);
+    change.before = Steering::standingAt(health_, serviceSilentShare, nowMs);
     health_ = afterTry(health_, outcome, nowMs);
-    change.after = Steering::standingAt(health_, nowMs);
+    change.after = Steering::standingAt(health_, serviceSilentShare, nowMs);
     return change;
 }
 
@@ -58,10 +59,10 @@
     return inFlight() + fresh * othersLoad_.load(std::memory_order_relaxed);
 }
 
-Standing UpstreamRecord::standingAt(std::int64_t nowMs) const
+Standing UpstreamRecord::standingAt(double serviceSilentShare, std::int64_t nowMs) const
 {
     const std::lock_guard lock(mutex_);
-    return Steering::standingAt(health_, nowMs);
+    return Steering::standingAt(health_, serviceSilentShare, nowMs);
 }
 
 UpstreamHealth UpstreamRecord::health() const
--- a/src/libs/steering/upstreamrecord.h
+++ b/src/libs/steering/upstreamrecord.h
@@ -33,12 +33,12 @@
 
         auto operator<=>(const StandingChange &) const = default;
     };
-    StandingChange endTry(TryOutcome outcome, std::int64_t latencyMs, const std::optional<ReportedLoad> &load, std::int64_t nowMs);
+    StandingChange endTry(TryOutcome outcome, std::int64_t latencyMs, const std::optional<ReportedLoad> &load, double serviceSilentShare, std::int64_t nowMs);
 
     [[nodiscard]] int inFlight() const;
     /// Own requests in flight, and those of others as last reported, fading out as the report ages.
     [[nodiscard]] double loadAt(std::int64_t nowMs) const;
-    [[nodiscard]] Standing standingAt(std::int64_t nowMs) const;
+    [[nodiscard]] Standing standingAt(double serviceSilentShare, std::int64_t nowMs) const;
     [[nodiscard]] UpstreamHealth health() const;
     /// Exponentially weighted time to an answer, in ms; 0 while unknown.
     [[nodiscard]] double latencyMs() const;
--- a/src/libs/steering/upstreamselector.cpp
+++ b/src/libs/steering/upstreamselector.cpp
@@ -41,7 +41,7 @@
     view.ramp = rampAt(upstream.joinedAtMs, query.nowMs);
     view.load = upstream.record->loadAt(query.nowMs);
     view.local = upstream.local;
-    view.standing = upstream.record->standingAt(query.nowMs);
+    view.standing = upstream.record->standingAt(service.record->silentShare.load(std::memory_order_relaxed), query.nowMs);
     view.gated = view.standing == Standing::Probation || upstream.record->isColdAt(query.nowMs);
     const bool tried = std::find(query.tried.begin(), query.tried.end(), upstream.idHash) != query.tried.end();
     view.excluded
@@ -57,7 +57,9 @@
             return false;
         }
     }
-    return upstream.record->standingAt(query.nowMs) != Standing::Probation || upstream.record->probationGate().tryPass(query.nowMs, probationIntervalMs);
+    const double silentShare = service.record->silentShare.load(std::memory_order_relaxed);
+    return upstream.record->standingAt(silentShare, query.nowMs) != Standing::Probation
+        || upstream.record->probationGate().tryPass(query.nowMs, probationIntervalMs);
 }
 
 double limitFor(const RouteRule &route, const ServiceRecord &record)
--- a/tests/auto/steering/tst_upstreamhealth.cpp
+++ b/tests/auto/steering/tst_upstreamhealth.cpp
@@ -17,11 +17,13 @@
 
     [[nodiscard]] Standing standing() const
     {
-        return standingAt(health, nowMs);
+        return standingAt(health, serviceSilentShare, nowMs);
     }
 
     UpstreamHealth health;
     std::int64_t nowMs = 10'000;
+    /// Of all upstreams of the service.
+    double serviceSilentShare = 0;
 };
 
 } // namespace
@@ -32,6 +34,18 @@
     // where they run longer, and the crowd grows.
     report(TryOutcome::Answered, 5);
     report(TryOutcome::Silent, 20);
+    serviceSilentShare = 0.6;
+    CHECK((standing() == Standing::Sound));
+}
+
+TEST_CASE_FIXTURE(HealthFixture, "health_deadlinesPassAtOneUpstreamOnly_isProbedUntilItAnswers")
+{
+    // Pattern: an upstream hangs or turns slow while the others answer. Its keys would meet their deadlines for as long.
+    report(TryOutcome::Answered, 5);
+    report(TryOutcome::Silent, 3);
+    serviceSilentShare = 0.1;
+    CHECK((standing() == Standing::Probation));
+    report(TryOutcome::Answered, 2);
     CHECK((standing() == Standing::Sound));
 }
 
@@ -88,7 +102,7 @@
     UpstreamRecord record;
     record.beginTry();
     record.beginTry();
-    record.endTry(TryOutcome::Answered, 100, ReportedLoad{6, 3, 6}, 1'000);
+    record.endTry(TryOutcome::Answered, 100, ReportedLoad{6, 3, 6}, 0, 1'000);
     CHECK(record.inFlight() == 1);
     CHECK(record.loadAt(1'000) == doctest::Approx(1 + 8));
     CHECK(record.loadAt(1'750) == doctest::Approx(1 + 4));
