--- a/src/app/entryoptions.h
+++ b/src/app/entryoptions.h
@@ -3,6 +3,7 @@
 #include <base/log.h>
 #include <base/settings.h>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
--- a/src/app/infoserver.h
+++ b/src/app/infoserver.h
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/HTTPServer.h>
 
+#include <compare>
 #include <functional>
 #include <memory>
 #include <string>
--- a/src/libs/callers/callersession.cpp
+++ b/src/libs/callers/callersession.cpp
@@ -95,9 +95,9 @@
 
 } // namespace
 
-CallerSession::CallerSession(SessionContext &context, Poco::Net::StreamSocket socket)
+CallerSession::CallerSession(SessionContext &context, const Poco::Net::StreamSocket &socket)
     : context_(context)
-    , stream_(std::move(socket), context.pass.clock)
+    , stream_(socket, context.pass.clock)
 {}
 
 void CallerSession::run()
@@ -138,7 +138,7 @@
     return answer(request, pass.run());
 }
 
-bool CallerSession::answer(const CallerRequest &request, PassResult result)
+bool CallerSession::answer(const CallerRequest &request, const PassResult &result)
 {
     if (result.end == PassEnd::CallerGone) {
         return false;
--- a/src/libs/callers/callersession.h
+++ b/src/libs/callers/callersession.h
@@ -22,14 +22,14 @@
 class CallerSession
 {
 public:
-    CallerSession(SessionContext &context, Poco::Net::StreamSocket socket);
+    CallerSession(SessionContext &context, const Poco::Net::StreamSocket &socket);
 
     void run();
 
 private:
     /// False when the connection must be closed.
     bool serveOne();
-    bool answer(const CallerRequest &request, PassResult result);
+    bool answer(const CallerRequest &request, const PassResult &result);
     bool sendAnswer(const CallerRequest &request, const PassResult &result, bool close);
     void refuseUnread(ReadEnd end);
     [[nodiscard]] Steering::CallerLimits limits() const;
--- a/src/libs/callers/entryserver.cpp
+++ b/src/libs/callers/entryserver.cpp
@@ -23,16 +23,16 @@
 class SessionTask: public Poco::Runnable
 {
 public:
-    SessionTask(SessionContext &context, Poco::Net::StreamSocket socket)
+    SessionTask(SessionContext &context, const Poco::Net::StreamSocket &socket)
         : context_(context)
-        , socket_(std::move(socket))
+        , socket_(socket)
     {}
 
     void run() override
     {
         context_.pass.metrics.connections().Increment();
         try {
-            CallerSession session(context_, std::move(socket_));
+            CallerSession session(context_, socket_);
             session.run();
         } catch (const std::exception &error) {
             Base::log(Base::LogLevel::Error, "session-failed", {{"cause", error.what()}});
@@ -78,9 +78,9 @@
     }
 }
 
-void EntryServer::serve(Poco::Net::StreamSocket socket)
+void EntryServer::serve(const Poco::Net::StreamSocket &socket)
 {
-    auto *task = new SessionTask(context_, std::move(socket));
+    auto *task = new SessionTask(context_, socket);
     try {
         threads_.start(*task);
     } catch (const Poco::NoThreadAvailableException &) {
--- a/src/libs/callers/entryserver.h
+++ b/src/libs/callers/entryserver.h
@@ -24,7 +24,7 @@
 
 private:
     void acceptLoop();
-    void serve(Poco::Net::StreamSocket socket);
+    void serve(const Poco::Net::StreamSocket &socket);
 
     SessionContext &context_;
     Poco::Net::ServerSocket socket_;
--- a/src/libs/http/bytestream.cpp
+++ b/src/libs/http/bytestream.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-ByteStream::ByteStream(Poco::Net::StreamSocket socket, const Base::Clock &clock)
-    : socket_(std::move(socket))
+ByteStream::ByteStream(const Poco::Net::StreamSocket &socket, const Base::Clock &clock)
+    : socket_(socket)
     , clock_(clock)
 {
     socket_.setNoDelay(true);
@@ -179,7 +179,7 @@
     try {
         Poco::Net::StreamSocket socket;
         socket.connectNB(Poco::Net::SocketAddress(address.host, address.port));
-        auto stream = std::make_unique<ByteStream>(std::move(socket), clock);
+        auto stream = std::make_unique<ByteStream>(socket, clock);
         state = stream->waitUntilWritable(deadline, watched);
         if (state == IoState::Ok && stream->socket().impl()->socketError() != 0) {
             state = IoState::Broken;
--- a/src/libs/http/bytestream.h
+++ b/src/libs/http/bytestream.h
@@ -5,6 +5,7 @@
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <compare>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -27,7 +28,7 @@
 class ByteStream
 {
 public:
-    ByteStream(Poco::Net::StreamSocket socket, const Base::Clock &clock);
+    ByteStream(const Poco::Net::StreamSocket &socket, const Base::Clock &clock);
 
     /// Waits for bytes and appends them to input(). @p watched: connection whose close ends the wait; may be null.
     IoState receive(Base::MonotonicMs deadline, const ByteStream *watched = nullptr);
--- a/src/libs/nodes/peerboard.h
+++ b/src/libs/nodes/peerboard.h
@@ -3,6 +3,7 @@
 #include <base/clock.h>
 #include <steering/entryvm.h>
 
+#include <compare>
 #include <map>
 #include <mutex>
 #include <optional>
--- a/src/libs/operators/declarations.h
+++ b/src/libs/operators/declarations.h
@@ -3,6 +3,7 @@
 #include <steering/objects.h>
 #include <steering/schema.h>
 
+#include <compare>
 #include <string>
 #include <vector>
 
--- a/src/libs/platform/content.h
+++ b/src/libs/platform/content.h
@@ -5,6 +5,7 @@
 #include <steering/objects.h>
 #include <steering/schema.h>
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <optional>
--- a/src/libs/steering/manifest.h
+++ b/src/libs/steering/manifest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
--- a/src/libs/steering/retrywindow.h
+++ b/src/libs/steering/retrywindow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <mutex>
 
--- a/src/libs/steering/schema.h
+++ b/src/libs/steering/schema.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
--- a/src/libs/steering/shiftaccount.h
+++ b/src/libs/steering/shiftaccount.h
@@ -3,6 +3,7 @@
 #include "objects.h"
 
 #include <atomic>
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <mutex>
--- a/src/libs/steering/unitshare.h
+++ b/src/libs/steering/unitshare.h
@@ -2,6 +2,7 @@
 
 #include "objects.h"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
--- a/src/libs/steering/upstreamchoice.h
+++ b/src/libs/steering/upstreamchoice.h
@@ -2,6 +2,7 @@
 
 #include "upstreamhealth.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
--- a/src/libs/steering/upstreamrecord.h
+++ b/src/libs/steering/upstreamrecord.h
@@ -4,6 +4,7 @@
 #include "upstreamhealth.h"
 
 #include <atomic>
+#include <compare>
 #include <cstdint>
 #include <mutex>
 #include <optional>
--- a/src/libs/steering/upstreamselector.h
+++ b/src/libs/steering/upstreamselector.h
@@ -5,6 +5,7 @@
 #include "roster.h"
 #include "upstreamchoice.h"
 
+#include <compare>
 #include <cstdint>
 #include <string_view>
 #include <vector>
