--- a/src/libs/callers/requestpass.cpp
+++ b/src/libs/callers/requestpass.cpp
@@ -204,8 +204,7 @@
         service.silentShare.store(Steering::nextSilentShare(share, outcome == TryOutcome::Silent, weightInService), std::memory_order_relaxed);
     }
     const double silentShare = service.silentShare.load(std::memory_order_relaxed);
-    noteStanding(
-        upstream, upstream.record->endTry(telling ? outcome : TryOutcome::Abandoned, now - begin, result.answer.facts.load, silentShare, now), outcome);
+    noteStanding(upstream, upstream.record->endTry(telling ? outcome : TryOutcome::Abandoned, result.answer.facts.load, silentShare, now), outcome);
     if (outcome != TryOutcome::Answered && outcome != TryOutcome::Abandoned) {
         context_.channels.drop(upstream.entry.id);
     }
--- a/src/libs/nodes/peerlink.cpp
+++ b/src/libs/nodes/peerlink.cpp
@@ -16,7 +16,7 @@
 
 using Json = nlohmann::json;
 
-// Signs of life a second bound traffic: about 4 kB/s at 680 VMs in 10 zones (docs/CAPACITY.md).
+// Bounds traffic: some 3.4 kB/s each way at 71 VMs in 9 zones, by the sizes of the datagrams (docs/CAPACITY.md).
 constexpr std::int64_t tickMs = 1'000;
 constexpr std::int64_t receiveWaitMs = 1'000;
 // A digest of a zone of 68 VMs takes about 2 kB.
--- a/src/libs/steering/rategate.h
+++ b/src/libs/steering/rategate.h
@@ -23,11 +23,6 @@
         return false;
     }
 
-    [[nodiscard]] bool isOpen(std::int64_t nowMs) const
-    {
-        return nowMs >= nextMs_.load(std::memory_order_relaxed);
-    }
-
 private:
     std::atomic<std::int64_t> nextMs_{0};
 };
--- a/src/libs/steering/upstreamrecord.cpp
+++ b/src/libs/steering/upstreamrecord.cpp
@@ -8,7 +8,6 @@
 
 // A report says nothing after about the time that a few requests take.
 constexpr double reportLifetimeMs = 1'500;
-constexpr double weightOfNewestLatency = 0.2;
 
 } // namespace
 
@@ -18,15 +17,10 @@
 }
 
 UpstreamRecord::StandingChange UpstreamRecord::endTry(
-    TryOutcome outcome, std::int64_t latencyMs, const std::optional<ReportedLoad> &load, double serviceSilentShare, std::int64_t nowMs)
+    TryOutcome outcome, const std::optional<ReportedLoad> &load, double serviceSilentShare, std::int64_t nowMs)
 {
     noteLoad(outcome, load, nowMs);
     inFlight_.fetch_sub(1, std::memory_order_relaxed);
-    if (outcome == TryOutcome::Answered) {
-        const double known = latencyMs_.load(std::memory_order_relaxed);
-        const double newest = static_cast<double>(latencyMs);
-        latencyMs_.store(known <= 0 ? newest : known + weightOfNewestLatency * (newest - known), std::memory_order_relaxed);
-    }
     const std::lock_guard lock(mutex_);
     StandingChange change;
     change.before = Steering::standingAt(health_, serviceSilentShare, nowMs);
@@ -71,11 +65,6 @@
     return health_;
 }
 
-double UpstreamRecord::latencyMs() const
-{
-    return latencyMs_.load(std::memory_order_relaxed);
-}
-
 void UpstreamRecord::setColdUntil(std::int64_t untilMs)
 {
     std::int64_t known = coldUntilMs_.load(std::memory_order_relaxed);
--- a/src/libs/steering/upstreamrecord.h
+++ b/src/libs/steering/upstreamrecord.h
@@ -26,23 +26,20 @@
 public:
     /// Counts a request that is being sent. Every call is paired with one of endTry().
     void beginTry();
-    /// @p latencyMs counts only for answers; @p load is what the answer reported.
-    /// Returns the standing before and after, so that the caller can log a change.
     struct StandingChange {
         Standing before = Standing::Sound;
         Standing after = Standing::Sound;
 
         auto operator<=>(const StandingChange &) const = default;
     };
-    StandingChange endTry(TryOutcome outcome, std::int64_t latencyMs, const std::optional<ReportedLoad> &load, double serviceSilentShare, std::int64_t nowMs);
+    /// @p load is what the answer reported. Returns the standing before and after, so that a change can be logged.
+    StandingChange endTry(TryOutcome outcome, const std::optional<ReportedLoad> &load, double serviceSilentShare, std::int64_t nowMs);
 
     [[nodiscard]] int inFlight() const;
     /// Own requests in flight, and those of others as last reported, fading out as the report ages.
     [[nodiscard]] double loadAt(std::int64_t nowMs) const;
     [[nodiscard]] Standing standingAt(double serviceSilentShare, std::int64_t nowMs) const;
     [[nodiscard]] UpstreamHealth health() const;
-    /// Exponentially weighted time to an answer, in ms; 0 while unknown.
-    [[nodiscard]] double latencyMs() const;
 
     /// Until then the upstream counts as cold. Never moves back.
     void setColdUntil(std::int64_t untilMs);
@@ -57,7 +54,6 @@
     std::atomic<int> othersLoad_{0};
     std::atomic<std::int64_t> reportedAtMs_{0};
     std::atomic<std::int64_t> coldUntilMs_{0};
-    std::atomic<double> latencyMs_{0};
     RateGate coldGate_;
     RateGate probationGate_;
     mutable std::mutex mutex_;
--- a/src/libs/upstreams/channelpool.cpp
+++ b/src/libs/upstreams/channelpool.cpp
@@ -52,14 +52,4 @@
     std::erase_if(idle_, [](const auto &entry) { return entry.second.empty(); });
 }
 
-std::size_t ChannelPool::size() const
-{
-    const std::lock_guard lock(mutex_);
-    std::size_t count = 0;
-    for (const auto &[id, connections] : idle_) {
-        count += connections.size();
-    }
-    return count;
-}
-
 } // namespace Wasabistair::Upstreams
--- a/src/libs/upstreams/channelpool.h
+++ b/src/libs/upstreams/channelpool.h
@@ -25,7 +25,6 @@
     void drop(const std::string &upstreamId);
     /// Closes connections that were idle for too long. Call now and then.
     void closeExpired();
-    [[nodiscard]] std::size_t size() const;
 
 private:
     struct Idle {
@@ -35,7 +34,7 @@
     };
 
     const Base::Clock &clock_;
-    mutable std::mutex mutex_;
+    std::mutex mutex_;
     std::map<std::string, std::vector<Idle>> idle_;
 };
 
--- a/src/libs/upstreams/upstreamcall.cpp
+++ b/src/libs/upstreams/upstreamcall.cpp
@@ -84,11 +84,11 @@
     caller_ = &caller;
     deadline_ = deadline;
     CallResult result;
-    result.end = connect(upstream, request, caller, deadline, result.reusedConnection);
+    result.end = connect(upstream, request.idempotent, result.reusedConnection);
     if (result.end != CallEnd::Answered) {
         return result;
     }
-    const std::string text = requestText(upstream, request, deadline);
+    const std::string text = requestText(upstream, request);
     unsent_ = text;
     result.end = readAnswer(request, result.answer);
     if (result.end == CallEnd::Answered && reusable_ && unsent_.empty() && stream_->input().empty()) {
@@ -99,17 +99,16 @@
     return result;
 }
 
-CallEnd UpstreamCall::connect(
-    const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, const Http::ByteStream &caller, Base::MonotonicMs deadline, bool &reused)
+CallEnd UpstreamCall::connect(const Steering::UpstreamEntry &upstream, bool idempotent, bool &reused)
 {
-    stream_ = pool_.take(upstream.id, request.idempotent ? maxIdleIdempotentMs : maxIdleOnceMs);
+    stream_ = pool_.take(upstream.id, idempotent ? maxIdleIdempotentMs : maxIdleOnceMs);
     reused = stream_ != nullptr;
     if (reused) {
         return CallEnd::Answered;
     }
-    const Base::MonotonicMs limit = std::min(deadline, clock_.monotonic() + connectTimeoutMs);
+    const Base::MonotonicMs limit = std::min(deadline_, clock_.monotonic() + connectTimeoutMs);
     Http::IoState state = Http::IoState::Ok;
-    stream_ = Http::connectTo({upstream.host, upstream.port}, limit, clock_, state, &caller);
+    stream_ = Http::connectTo({upstream.host, upstream.port}, limit, clock_, state, caller_);
     if (stream_) {
         Http::applyCare(stream_->socket(), upstreamCare);
         return CallEnd::Answered;
@@ -120,10 +119,10 @@
     return state == Http::IoState::TimedOut ? CallEnd::ConnectionTimedOut : CallEnd::ConnectionRefused;
 }
 
-std::string UpstreamCall::requestText(const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, Base::MonotonicMs deadline) const
+std::string UpstreamCall::requestText(const Steering::UpstreamEntry &upstream, const ForwardedRequest &request) const
 {
     Poco::Net::HTTPRequest head(request.head.getMethod(), request.head.getURI(), Poco::Net::HTTPRequest::HTTP_1_1);
-    const std::int64_t leftMs = std::max<std::int64_t>(1, deadline - clock_.monotonic());
+    const std::int64_t leftMs = std::max<std::int64_t>(1, deadline_ - clock_.monotonic());
     for (const auto &[name, value] : Adapter::upstreamHeaders(request.head, upstream.id, leftMs)) {
         head.add(name, value);
     }
--- a/src/libs/upstreams/upstreamcall.h
+++ b/src/libs/upstreams/upstreamcall.h
@@ -69,9 +69,8 @@
         const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, const Http::ByteStream &caller, Base::MonotonicMs deadline);
 
 private:
-    [[nodiscard]] CallEnd connect(
-        const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, const Http::ByteStream &caller, Base::MonotonicMs deadline, bool &reused);
-    [[nodiscard]] std::string requestText(const Steering::UpstreamEntry &upstream, const ForwardedRequest &request, Base::MonotonicMs deadline) const;
+    [[nodiscard]] CallEnd connect(const Steering::UpstreamEntry &upstream, bool idempotent, bool &reused);
+    [[nodiscard]] std::string requestText(const Steering::UpstreamEntry &upstream, const ForwardedRequest &request) const;
     [[nodiscard]] CallEnd readAnswer(const ForwardedRequest &request, UpstreamAnswer &answer);
     [[nodiscard]] CallEnd readHead(Poco::Net::HTTPResponse &response);
     [[nodiscard]] CallEnd readBody(const Http::BodyFrame &frame, std::string &body);
--- a/tests/auto/steering/tst_upstreamhealth.cpp
+++ b/tests/auto/steering/tst_upstreamhealth.cpp
@@ -102,7 +102,7 @@
     UpstreamRecord record;
     record.beginTry();
     record.beginTry();
-    record.endTry(TryOutcome::Answered, 100, ReportedLoad{6, 3, 6}, 0, 1'000);
+    record.endTry(TryOutcome::Answered, ReportedLoad{6, 3, 6}, 0, 1'000);
     CHECK(record.inFlight() == 1);
     CHECK(record.loadAt(1'000) == doctest::Approx(1 + 8));
     CHECK(record.loadAt(1'750) == doctest::Approx(1 + 4));
