--- a/tests/auto/entry/tst_control.cpp
+++ b/tests/auto/entry/tst_control.cpp
@@ -64,6 +64,18 @@
     CHECK(lookup().status == 200);
 }
 
+TEST_CASE_FIXTURE(EntryFixture, "upstream_leftWhileTheVmWasCutOff_getsNothingSoonAfterTheCutsEnd")
+{
+    // Seen on the platform: a VM that was cut off from the store for 12 s used an upstream 3 s after the cut's end that had
+    // left 12 s before, since it waited for the upstream's entry to come back.
+    store.setFaults({.busy = true});
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+    store.remove("servers", "u-1");
+    store.setFaults({});
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'600));
+    CHECK(newRunsOfFirst(*this) == 0);
+}
+
 TEST_CASE_FIXTURE(EntryFixture, "foreignEntries_inTheRegistry_disturbNoOther")
 {
     store.put("servers", "alien-1", "bytes");
