Count an answer that is cut on a kept connection as the upstream's fault; name every try in a request's line

Cause: a broken call on a kept connection was always taken for an idle connection that the upstream had closed, so an upstream that sends spoiled answers on kept connections, as nearly all are, never lost its standing. Only a connection that ended with no byte of an answer is stale now.

The request line now has the trail of all tries (upstream:outcome:ms). New tests: a full and a closed standard output delay no request, and lines written plus lines left out make up all failures; the last one failed first, as counts since the last tick were lost at the stop (134 of 300); stop() writes them now.

--- a/src/app/entrynode.cpp
+++ b/src/app/entrynode.cpp
@@ -222,6 +222,7 @@
     while (clock_.monotonic() < stopDeadline_ && (active_ > 0 || clock_.monotonic() < quietFrom)) {
         std::this_thread::sleep_for(std::chrono::milliseconds(stopPollMs));
     }
+    logLeftOut();
     Base::log(Base::LogLevel::Info, "stopped", {{"vm", self_.name}, {"active", active_.load()}, {"tookMs", clock_.monotonic() - begin}});
 }
 
--- a/src/libs/callers/requestpass.cpp
+++ b/src/libs/callers/requestpass.cpp
@@ -87,7 +87,7 @@
         return TryOutcome::ConnectTimeout;
     case CallEnd::Broken:
         // The upstream may have closed an idle connection just then; that says nothing about its health.
-        return result.reusedConnection ? TryOutcome::StaleConnection : TryOutcome::Broken;
+        return result.reusedConnection && !result.answerBegun ? TryOutcome::StaleConnection : TryOutcome::Broken;
     case CallEnd::TimedOut:
         return TryOutcome::Silent;
     case CallEnd::CallerGone:
@@ -203,11 +203,24 @@
     if (outcome != TryOutcome::Answered && outcome != TryOutcome::Abandoned) {
         context_.channels.drop(upstream.entry.id);
     }
+    noteTry(upstream, outcome, now - begin);
+    return outcome;
+}
+
+void RequestPass::noteTry(const Steering::RosterUpstream &upstream, TryOutcome outcome, std::int64_t tookMs)
+{
     context_.metrics.countTry(outcome);
     tried_.push_back(upstream.idHash);
     lastUpstream_ = upstream.entry.id;
     lastOutcome_ = Steering::toString(outcome);
-    return outcome;
+    if (!trail_.empty()) {
+        trail_ += ',';
+    }
+    trail_ += upstream.entry.id;
+    trail_ += ':';
+    trail_ += lastOutcome_;
+    trail_ += ':';
+    trail_ += std::to_string(tookMs);
 }
 
 void RequestPass::noteStanding(const Steering::RosterUpstream &upstream, const Steering::UpstreamRecord::StandingChange &change, TryOutcome outcome) const
@@ -321,7 +334,7 @@
         {{"request", request_.facts.requestId}, {"end", std::string(toString(result.end))},
             {"status", result.end == PassEnd::Answered ? result.answer.status : result.status}, {"route", routeName_}, {"service", service_},
             {"manifest", roster_->manifest ? roster_->manifest->version : 0}, {"upstream", lastUpstream_}, {"outcome", std::string(lastOutcome_)},
-            {"tries", arrivals_}, {"choices", choices_}, {"loadPercent", static_cast<int>(100 * lastLoad_)}, {"waitMs", waitedMs_},
+            {"tries", arrivals_}, {"choices", choices_}, {"trail", trail_}, {"loadPercent", static_cast<int>(100 * lastLoad_)}, {"waitMs", waitedMs_},
             {"tookMs", now - request_.arrivedAt}, {"leftMs", deadline_ - now}, {"retryAfterMs", result.retryAfterMs}});
 }
 
--- a/src/libs/callers/requestpass.h
+++ b/src/libs/callers/requestpass.h
@@ -59,6 +59,7 @@
     [[nodiscard]] std::optional<PassResult> tryOnce(const Steering::RouteRule &route, const Steering::ServiceRoster &service);
     [[nodiscard]] Steering::TryOutcome send(
         const Steering::RosterUpstream &upstream, const Steering::RouteRule &route, Steering::ServiceRecord &service, Upstreams::CallResult &result);
+    void noteTry(const Steering::RosterUpstream &upstream, Steering::TryOutcome outcome, std::int64_t tookMs);
     void noteStanding(const Steering::RosterUpstream &upstream, const Steering::UpstreamRecord::StandingChange &change, Steering::TryOutcome outcome) const;
     [[nodiscard]] std::optional<PassResult> afterTry(
         const Steering::RouteRule &route, const Steering::ServiceRoster &service, Steering::TryOutcome outcome, Upstreams::CallResult &result);
@@ -88,6 +89,8 @@
     std::string service_;
     std::string lastUpstream_;
     std::string_view lastOutcome_ = "none";
+    /// Each try in order, "upstream:outcome:milliseconds", separated by commas.
+    std::string trail_;
     double lastLoad_ = 0;
 };
 
--- a/src/libs/upstreams/upstreamcall.cpp
+++ b/src/libs/upstreams/upstreamcall.cpp
@@ -91,6 +91,7 @@
     const std::string text = requestText(upstream, request);
     unsent_ = text;
     result.end = readAnswer(request, result.answer);
+    result.answerBegun = answerBegun_;
     if (result.end == CallEnd::Answered && reusable_ && unsent_.empty() && stream_->input().empty()) {
         pool_.give(upstream.id, std::move(stream_), keepAliveMs_);
     }
@@ -136,6 +137,7 @@
 CallEnd UpstreamCall::receive()
 {
     const Http::IoState state = stream_->exchange(unsent_, deadline_, caller_);
+    answerBegun_ = answerBegun_ || !stream_->input().empty();
     return state == Http::IoState::Ok ? CallEnd::Answered : endOf(state);
 }
 
--- a/src/libs/upstreams/upstreamcall.h
+++ b/src/libs/upstreams/upstreamcall.h
@@ -54,6 +54,8 @@
     /// Set when end is Answered.
     UpstreamAnswer answer;
     bool reusedConnection = false;
+    /// Whether some of an answer came, whole or not.
+    bool answerBegun = false;
 
     bool operator==(const CallResult &) const = default;
 };
@@ -84,6 +86,7 @@
     const Http::ByteStream *caller_ = nullptr;
     Base::MonotonicMs deadline_ = 0;
     bool reusable_ = false;
+    bool answerBegun_ = false;
     std::int64_t keepAliveMs_ = 0;
 };
 
--- a/tests/auto/entry/entryfixture.cpp
+++ b/tests/auto/entry/entryfixture.cpp
@@ -68,11 +68,12 @@
 
 } // namespace
 
-EntryFixture::EntryFixture()
+EntryFixture::EntryFixture(std::string logFile)
     : script(
         [](int, const Request &request) { return Answer{StandIns::ScriptedUpstream::wholeAnswer(request, 200, "body of " + request.header("X-Request-Id"))}; })
     , first([this](const Request &request) { return script(0, request); })
     , second([this](const Request &request) { return script(1, request); })
+    , logFile(std::move(logFile))
 {
     store.put("config", "main", manifest(1));
     registerUpstreams();
@@ -114,7 +115,7 @@
          << "ready-addr = " << listenAt(readyPort) << "directory = " << listenAt(lookupPort) << "[platform]\naddress = " << listenAt(store.port());
     file.close();
     ::setenv("WASABISTAIR_SETTINGS", path.c_str(), 1);
-    vm = std::make_unique<StandIns::ChildProcess>("wasabistaird", std::vector<std::string>{"entry"});
+    vm = std::make_unique<StandIns::ChildProcess>("wasabistaird", std::vector<std::string>{"entry"}, logFile);
 }
 
 void EntryFixture::registerUpstreams(const std::string &firstState)
--- a/tests/auto/entry/entryfixture.h
+++ b/tests/auto/entry/entryfixture.h
@@ -21,7 +21,8 @@
 
 /// One entry VM as a process of its own, with a store and two upstreams of one service.
 struct EntryFixture {
-    EntryFixture();
+    /// The VM's standard output goes to @p logFile, nowhere if empty.
+    explicit EntryFixture(std::string logFile = "");
     ~EntryFixture();
 
     using Answer = StandIns::ScriptedAnswer;
@@ -47,6 +48,7 @@
     std::uint16_t readyPort = 0;
     std::uint16_t lookupPort = 0;
     std::string directory;
+    std::string logFile;
     std::unique_ptr<StandIns::ChildProcess> vm;
 
 private:
--- /dev/null
+++ b/tests/auto/entry/tst_logging.cpp
@@ -0,0 +1,167 @@
+#include "entryfixture.h"
+
+#include <doctest/doctest.h>
+
+#include <Poco/TemporaryFile.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <fstream>
+#include <string>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <utility>
+
+using namespace Wasabistair;
+using Wasabistair::Tests::EntryFixture;
+
+namespace {
+
+constexpr int refusedRequests = 300;
+/// As documented in docs/OPERATIONS.md.
+constexpr int failureLinesPerSecond = 20;
+
+std::string temporaryName()
+{
+    return Poco::TemporaryFile::tempName();
+}
+
+/// A named pipe of the smallest size, held open by the test and never read.
+class UnreadPipe
+{
+public:
+    UnreadPipe()
+        : path_(temporaryName())
+    {
+        ::mkfifo(path_.c_str(), 0600);
+        descriptor_ = ::open(path_.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+        ::fcntl(descriptor_, F_SETPIPE_SZ, 1);
+    }
+    ~UnreadPipe()
+    {
+        closeReader();
+        std::remove(path_.c_str());
+    }
+    UnreadPipe(const UnreadPipe &) = delete;
+    UnreadPipe &operator=(const UnreadPipe &) = delete;
+
+    const std::string &path() const
+    {
+        return path_;
+    }
+    /// Whether a write of one byte would have to wait.
+    bool isFull() const
+    {
+        return ::write(descriptor_, "", 1) < 0;
+    }
+    void closeReader()
+    {
+        if (descriptor_ >= 0) {
+            ::close(descriptor_);
+            descriptor_ = -1;
+        }
+    }
+
+private:
+    std::string path_;
+    int descriptor_ = -1;
+};
+
+struct PipeFixture {
+    UnreadPipe pipe;
+    EntryFixture entry{pipe.path()};
+};
+
+struct LogFileFixture {
+    ~LogFileFixture()
+    {
+        std::remove(entry.logFile.c_str());
+    }
+
+    /// Lines of @p event and the sum of @p counter in them.
+    std::pair<int, int> linesOf(const std::string &event, const std::string &counter = "") const
+    {
+        std::ifstream file(entry.logFile);
+        std::pair<int, int> result{0, 0};
+        for (std::string line; std::getline(file, line);) {
+            if (line.find(" event=" + event + " ") == std::string::npos) {
+                continue;
+            }
+            ++result.first;
+            const std::size_t at = counter.empty() ? std::string::npos : line.find(" " + counter + "=");
+            result.second += at == std::string::npos ? 0 : std::stoi(line.substr(at + counter.size() + 2));
+        }
+        return result;
+    }
+
+    EntryFixture entry{temporaryName()};
+};
+
+/// Requests that no route allows; each asks for a line.
+int refuse(const EntryFixture &entry, int count)
+{
+    int refused = 0;
+    for (int i = 0; i < count; ++i) {
+        refused += entry.get("/nowhere").status == 404 ? 1 : 0;
+    }
+    return refused;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(PipeFixture, "standardOutput_isFull_requestsAreServed")
+{
+    CHECK(refuse(entry, refusedRequests) == refusedRequests);
+    REQUIRE(EntryFixture::eventually([this] { return pipe.isFull(); }));
+    CHECK(refuse(entry, refusedRequests) == refusedRequests);
+    CHECK(entry.get("/safe/a").status == 200);
+    CHECK(entry.readiness() == 200);
+}
+
+TEST_CASE_FIXTURE(PipeFixture, "standardOutput_isClosed_requestsAreServed")
+{
+    pipe.closeReader();
+    CHECK(refuse(entry, refusedRequests) == refusedRequests);
+    CHECK(entry.get("/safe/a").status == 200);
+    CHECK(entry.vm->isRunning());
+}
+
+TEST_CASE_FIXTURE(LogFileFixture, "failures_inAFlood_areLoggedWithinTheBudgetAndTheRestIsCounted")
+{
+    const auto started = std::chrono::steady_clock::now();
+    CHECK(refuse(entry, refusedRequests) == refusedRequests);
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now() - started).count();
+    entry.vm->signal(SIGTERM);
+    CHECK(entry.vm->waitFor(10'000) == 0);
+    const int written = linesOf("request").first;
+    const int leftOut = linesOf("lines-left-out", "failures").second;
+    // The span touches at most two seconds more than it lasts; the request that waited for readiness may have one line more.
+    CHECK(written <= failureLinesPerSecond * (static_cast<int>(seconds) + 2) + 1);
+    CHECK(written + leftOut >= refusedRequests);
+    CHECK(leftOut > 0);
+}
+
+TEST_CASE_FIXTURE(LogFileFixture, "request_sentTwice_itsLineNamesBothTriesInOrder")
+{
+    entry.script = [](int, const EntryFixture::Request &request) {
+        const std::string whole = StandIns::ScriptedUpstream::wholeAnswer(request, 200, "a body that ends too soon");
+        return EntryFixture::Answer{.bytes = whole.substr(0, whole.size() - 4), .closeAfter = true};
+    };
+    CHECK(entry.get("/safe/cut").status == 502);
+    std::string trail;
+    CHECK(EntryFixture::eventually([&] {
+        std::ifstream file(entry.logFile);
+        for (std::string line; std::getline(file, line);) {
+            const std::size_t at = line.find(" trail=");
+            if (line.find(" status=502 ") != std::string::npos && at != std::string::npos) {
+                trail = line.substr(at + 7, line.find(' ', at + 1) - at - 7);
+            }
+        }
+        return !trail.empty();
+    }));
+    CHECK(trail.find("u-1:broken:") != std::string::npos);
+    CHECK(trail.find("u-2:broken:") != std::string::npos);
+    CHECK(trail.find(',') != std::string::npos);
+}
