Let an upstream not heard of lately count with its service's mean load

Cause: with 70 VMs and some 250 upstreams a VM hears from an upstream every few seconds, and a reported load fades within 1.5 s, so upstreams looked idle in a crowd. Ruled out: the limits themselves; on the small sites, where reports are fresh, they hold.

Change: as a report ages, the mean load per slot that the service's answers report takes its place (ServiceLoad); it fades when nothing reports, so that a full service is tried again. Loads are looked at for the key's own upstreams only, all of them when none has room; the decisions are the same, it saves processor time.

--- a/src/libs/callers/requestpass.cpp
+++ b/src/libs/callers/requestpass.cpp
@@ -192,6 +192,9 @@
     result = call.run(upstream.entry, {request_.head, request_.body, request_.facts.requestId, route.idempotent}, caller_, deadline_);
     const Base::MonotonicMs now = context_.clock.monotonic();
     const TryOutcome outcome = outcomeOf(result);
+    if (const auto &load = result.answer.facts.load; load && load->slots > 0) {
+        service.load.note(static_cast<double>(load->running + load->waiting) / load->slots, now);
+    }
     // A caller that waits for less than requests usually take says nothing about the upstream.
     const bool telling = outcome != TryOutcome::Silent || now - begin >= timesObjectiveForSilence * route.objectiveMs;
     if (telling && (outcome == TryOutcome::Answered || outcome == TryOutcome::Silent)) {
--- a/src/libs/steering/roster.cpp
+++ b/src/libs/steering/roster.cpp
@@ -115,7 +115,7 @@
             || upstream.record->standingAt(service.record->silentShare.load(std::memory_order_relaxed), nowMs) == Standing::Suspended) {
             continue;
         }
-        const double load = upstream.record->loadAt(nowMs);
+        const double load = upstream.record->loadAt(nowMs, service.record->load.at(nowMs) * upstream.entry.slots);
         (upstream.local ? room.localSlots : room.remoteSlots) += upstream.entry.slots;
         (upstream.local ? room.localLoad : room.remoteLoad) += load;
     }
--- a/src/libs/steering/roster.h
+++ b/src/libs/steering/roster.h
@@ -3,6 +3,7 @@
 #include "manifest.h"
 #include "regionpreference.h"
 #include "retrywindow.h"
+#include "serviceload.h"
 #include "upstreamentry.h"
 #include "upstreamrecord.h"
 
@@ -22,6 +23,7 @@
     std::atomic<double> localShare{-1};
     /// Share of this VM's tries at any upstream that met their deadline, exponentially weighted.
     std::atomic<double> silentShare{0};
+    ServiceLoad load;
     /// Requests of callers; the share stays at its first value until there are some.
     std::atomic<std::uint64_t> requests{0};
     /// Most urgent priority of any route of the service.
--- a/src/libs/steering/upstreamchoice.cpp
+++ b/src/libs/steering/upstreamchoice.cpp
@@ -64,15 +64,20 @@
     return order;
 }
 
-std::optional<std::size_t> chooseUpstream(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const std::function<bool(std::size_t)> &mayUse)
+std::optional<std::size_t> chooseRanked(
+    const std::vector<UpstreamView> &upstreams, const std::vector<std::size_t> &order, const ChoiceQuery &query, const MayUse &mayUse)
 {
-    const std::vector<std::size_t> order = rankUpstreams(upstreams, query);
     for (std::size_t place = 0; place < order.size(); ++place) {
         const UpstreamView &view = upstreams[order[place]];
         if (loadPerSlot(view) < std::min(softLimits[place], query.hardLimit) && mayUse(order[place])) {
             return order[place];
         }
     }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> chooseIdle(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const MayUse &mayUse)
+{
     std::vector<std::size_t> rest;
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
         if (isUsable(upstreams[i]) && loadPerSlot(upstreams[i]) < std::min(idleLoad, query.hardLimit)) {
@@ -84,4 +89,10 @@
     return taken == rest.end() ? std::nullopt : std::optional(*taken);
 }
 
+std::optional<std::size_t> chooseUpstream(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const MayUse &mayUse)
+{
+    const auto ranked = chooseRanked(upstreams, rankUpstreams(upstreams, query), query, mayUse);
+    return ranked ? ranked : chooseIdle(upstreams, query, mayUse);
+}
+
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamchoice.h
+++ b/src/libs/steering/upstreamchoice.h
@@ -23,8 +23,6 @@
     /// Whether the upstream stands in this VM's region.
     bool local = false;
     Standing standing = Standing::Sound;
-    /// Takes requests only as its rate gate admits them: cold, or in probation.
-    bool gated = false;
     /// Must not be used: leaving, evacuated, not a home, tried before, or out of connections.
     bool excluded = false;
 
@@ -49,12 +47,18 @@
 /// Indices of usable upstreams in the order of the key; at most rankedLimit.
 [[nodiscard]] std::vector<std::size_t> rankUpstreams(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query);
 
+/// Decides last about an upstream that would be taken: rate gates and moves between regions are counted there.
+using MayUse = std::function<bool(std::size_t)>;
+
+/// The first upstream in @p order, as rankUpstreams gives it, with room; nothing when none has. Looks at the load of those only.
+[[nodiscard]] std::optional<std::size_t> chooseRanked(
+    const std::vector<UpstreamView> &upstreams, const std::vector<std::size_t> &order, const ChoiceQuery &query, const MayUse &mayUse);
+
+/// The least loaded of the idle upstreams; nothing when none is idle.
+[[nodiscard]] std::optional<std::size_t> chooseIdle(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const MayUse &mayUse);
+
 /// The first upstream in the key's order with room; else the least loaded idle one; else nothing.
-///
-/// @p mayUse is asked last, once for each upstream that would be taken, and may refuse it: rate gates and moves between
-/// regions are counted there.
-[[nodiscard]] std::optional<std::size_t> chooseUpstream(
-    const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const std::function<bool(std::size_t)> &mayUse);
+[[nodiscard]] std::optional<std::size_t> chooseUpstream(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const MayUse &mayUse);
 
 /// Upstreams of a key that are looked at in its order.
 constexpr std::size_t rankedLimit = 3;
--- a/src/libs/steering/upstreamrecord.cpp
+++ b/src/libs/steering/upstreamrecord.cpp
@@ -25,6 +25,7 @@
     StandingChange change;
     change.before = Steering::standingAt(health_, serviceSilentShare, nowMs);
     health_ = afterTry(health_, outcome, nowMs);
+    suspendedUntilMs_.store(health_.suspendedUntilMs, std::memory_order_relaxed);
     change.after = Steering::standingAt(health_, serviceSilentShare, nowMs);
     return change;
 }
@@ -46,11 +47,11 @@
     return inFlight_.load(std::memory_order_relaxed);
 }
 
-double UpstreamRecord::loadAt(std::int64_t nowMs) const
+double UpstreamRecord::loadAt(std::int64_t nowMs, double expectedOthers) const
 {
     const auto age = static_cast<double>(nowMs - reportedAtMs_.load(std::memory_order_relaxed));
     const double fresh = std::clamp(1.0 - age / reportLifetimeMs, 0.0, 1.0);
-    return inFlight() + fresh * othersLoad_.load(std::memory_order_relaxed);
+    return inFlight() + fresh * othersLoad_.load(std::memory_order_relaxed) + (1.0 - fresh) * expectedOthers;
 }
 
 Standing UpstreamRecord::standingAt(double serviceSilentShare, std::int64_t nowMs) const
@@ -59,6 +60,11 @@
     return Steering::standingAt(health_, serviceSilentShare, nowMs);
 }
 
+bool UpstreamRecord::isSuspendedAt(std::int64_t nowMs) const
+{
+    return nowMs < suspendedUntilMs_.load(std::memory_order_relaxed);
+}
+
 UpstreamHealth UpstreamRecord::health() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/libs/steering/upstreamrecord.h
+++ b/src/libs/steering/upstreamrecord.h
@@ -36,9 +36,11 @@
     StandingChange endTry(TryOutcome outcome, const std::optional<ReportedLoad> &load, double serviceSilentShare, std::int64_t nowMs);
 
     [[nodiscard]] int inFlight() const;
-    /// Own requests in flight, and those of others as last reported, fading out as the report ages.
-    [[nodiscard]] double loadAt(std::int64_t nowMs) const;
+    /// Own requests in flight, and those of others as last reported; as the report ages, @p expectedOthers takes its place.
+    [[nodiscard]] double loadAt(std::int64_t nowMs, double expectedOthers) const;
     [[nodiscard]] Standing standingAt(double serviceSilentShare, std::int64_t nowMs) const;
+    /// Whether its standing is Suspended; cheaper than standingAt.
+    [[nodiscard]] bool isSuspendedAt(std::int64_t nowMs) const;
     [[nodiscard]] UpstreamHealth health() const;
 
     /// Until then the upstream counts as cold. Never moves back.
@@ -54,6 +56,8 @@
     std::atomic<int> othersLoad_{0};
     std::atomic<std::int64_t> reportedAtMs_{0};
     std::atomic<std::int64_t> coldUntilMs_{0};
+    /// As in health_.
+    std::atomic<std::int64_t> suspendedUntilMs_{0};
     RateGate coldGate_;
     RateGate probationGate_;
     mutable std::mutex mutex_;
--- a/src/libs/steering/upstreamselector.cpp
+++ b/src/libs/steering/upstreamselector.cpp
@@ -33,16 +33,20 @@
         || upstream.record->inFlight() < std::max(2.0, connectionPart * static_cast<double>(rule.maxConnections) / roster.fleetSize);
 }
 
+double loadOf(const ServiceRoster &service, const RosterUpstream &upstream, std::int64_t nowMs)
+{
+    return upstream.record->loadAt(nowMs, service.record->load.at(nowMs) * upstream.entry.slots);
+}
+
+/// All but the load, which only those need that come first for the key.
 UpstreamView viewOf(const Roster &roster, const ServiceRoster &service, const RosterUpstream &upstream, const SelectionQuery &query)
 {
     UpstreamView view;
     view.idHash = upstream.idHash;
     view.slots = upstream.entry.slots;
     view.ramp = rampAt(upstream.joinedAtMs, query.nowMs);
-    view.load = upstream.record->loadAt(query.nowMs);
     view.local = upstream.local;
-    view.standing = upstream.record->standingAt(service.record->silentShare.load(std::memory_order_relaxed), query.nowMs);
-    view.gated = view.standing == Standing::Probation || upstream.record->isColdAt(query.nowMs);
+    view.standing = upstream.record->isSuspendedAt(query.nowMs) ? Standing::Suspended : Standing::Sound;
     const bool tried = std::find(query.tried.begin(), query.tried.end(), upstream.idHash) != query.tried.end();
     view.excluded
         = tried || upstream.entry.leaving || upstream.evacuated || !isHome(*query.route, upstream.region) || !hasConnectionRoom(roster, service.rule, upstream);
@@ -68,6 +72,18 @@
     return std::max(leastUrgentLimit, hardLimit * (1 - urgentReserve * ranksBelow));
 }
 
+double leastLoadPerSlot(const std::vector<UpstreamView> &views)
+{
+    double least = -1;
+    for (const UpstreamView &view : views) {
+        if (!view.excluded && view.standing != Standing::Suspended) {
+            const double load = view.load / view.slots;
+            least = least < 0 ? load : std::min(least, load);
+        }
+    }
+    return std::max(0.0, least);
+}
+
 } // namespace
 
 std::string_view toString(SelectionEnd end)
@@ -88,14 +104,11 @@
     std::vector<UpstreamView> views;
     views.reserve(service.upstreams.size());
     RegionRoom room;
-    double leastLoad = -1;
     for (const RosterUpstream &upstream : service.upstreams) {
         views.push_back(viewOf(roster, service, upstream, query));
         const UpstreamView &view = views.back();
         if (!view.excluded && view.standing != Standing::Suspended) {
             (view.local ? room.localSlots : room.remoteSlots) += view.slots;
-            const double load = view.load / view.slots;
-            leastLoad = leastLoad < 0 ? load : std::min(leastLoad, load);
         }
     }
     ChoiceQuery choice;
@@ -113,9 +126,18 @@
         const bool moves = upstream.regionIndex != plannedRegion;
         return (!moves || flow.mayMoveTo(upstream.regionIndex, query.nowMs)) && passGates(roster, service, upstream, query, bounds);
     };
-    const auto chosen = chooseUpstream(views, choice, mayUse);
+    for (const std::size_t index : order) {
+        views[index].load = loadOf(service, service.upstreams[index], query.nowMs);
+    }
+    auto chosen = chooseRanked(views, order, choice, mayUse);
+    if (!chosen) {
+        for (std::size_t i = 0; i < views.size(); ++i) {
+            views[i].load = loadOf(service, service.upstreams[i], query.nowMs);
+        }
+        chosen = chooseIdle(views, choice, mayUse);
+    }
     if (!chosen) {
-        return {SelectionEnd::AllFull, nullptr, std::max(0.0, leastLoad)};
+        return {SelectionEnd::AllFull, nullptr, leastLoadPerSlot(views)};
     }
     const RosterUpstream &upstream = service.upstreams[*chosen];
     flow.count(upstream.regionIndex, query.nowMs);
--- a/tests/auto/steering/tst_upstreamhealth.cpp
+++ b/tests/auto/steering/tst_upstreamhealth.cpp
@@ -104,9 +104,9 @@
     record.beginTry();
     record.endTry(TryOutcome::Answered, ReportedLoad{6, 3, 6}, 0, 1'000);
     CHECK(record.inFlight() == 1);
-    CHECK(record.loadAt(1'000) == doctest::Approx(1 + 8));
-    CHECK(record.loadAt(1'750) == doctest::Approx(1 + 4));
-    CHECK(record.loadAt(60'000) == doctest::Approx(1));
+    CHECK(record.loadAt(1'000, 0) == doctest::Approx(1 + 8));
+    CHECK(record.loadAt(1'750, 0) == doctest::Approx(1 + 4));
+    CHECK(record.loadAt(60'000, 0) == doctest::Approx(1));
 }
 
 TEST_CASE("record_coldUntil_neverMovesBack")
