Leave an address alone for seconds once another process answers there

The process does not come back there; the registry's removal ends it. Now 4 to 16 s.

The test failed on the old backoff.

--- a/src/libs/steering/upstreamhealth.cpp
+++ b/src/libs/steering/upstreamhealth.cpp
@@ -9,6 +9,10 @@
 // A crashed process restarts within seconds; the first pause is short since one refused connection proves little.
 constexpr std::int64_t firstBackoffMs = 400;
 constexpr std::int64_t longestBackoffMs = 3'000;
+// Another process answers at its address: it does not come back there, and only the registry's removal is awaited, which
+// a VM that is cut off from the store hears late.
+constexpr std::int64_t firstReplacedBackoffMs = 4'000;
+constexpr std::int64_t longestReplacedBackoffMs = 16'000;
 constexpr std::int64_t probationMs = 1'500;
 // One broken connection may be the network's; two in a row are the upstream's.
 constexpr int faultsUntilSuspended = 2;
@@ -97,7 +101,9 @@
     ++health.consecutiveFaults;
     const bool certain = outcome == TryOutcome::NoConnection || outcome == TryOutcome::WrongInstance;
     if ((certain || health.consecutiveFaults >= faultsUntilSuspended) && nowMs >= health.suspendedUntilMs) {
-        health.backoffMs = std::clamp(health.backoffMs * 2, firstBackoffMs, longestBackoffMs);
+        const bool replaced = outcome == TryOutcome::WrongInstance;
+        health.backoffMs = replaced ? std::clamp(health.backoffMs * 2, firstReplacedBackoffMs, longestReplacedBackoffMs)
+                                    : std::clamp(health.backoffMs * 2, firstBackoffMs, longestBackoffMs);
         health.suspendedUntilMs = nowMs + health.backoffMs;
         health.probationUntilMs = health.suspendedUntilMs + probationMs;
     }
--- a/tests/auto/steering/tst_upstreamhealth.cpp
+++ b/tests/auto/steering/tst_upstreamhealth.cpp
@@ -117,3 +117,19 @@
     CHECK(record.isColdAt(4'999));
     CHECK_FALSE(record.isColdAt(5'000));
 }
+
+TEST_CASE_FIXTURE(HealthFixture, "health_anotherProcessAnswersAtTheAddress_isLeftAloneUntilTheRegistryTells")
+{
+    // Pattern: addresses are used again while some VMs are cut off from the store. Each probe of such an address costs a
+    // request one of its tries.
+    report(TryOutcome::Answered, 5);
+    report(TryOutcome::WrongInstance);
+    CHECK((standing() == Standing::Suspended));
+    nowMs += 3'900;
+    CHECK((standing() == Standing::Suspended));
+    nowMs = health.suspendedUntilMs;
+    CHECK((standing() == Standing::Probation));
+    report(TryOutcome::WrongInstance);
+    nowMs += 7'900;
+    CHECK((standing() == Standing::Suspended));
+}
