--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,196 @@
+#include "soakfleet.h"
+#include "soakjudge.h"
+
+#include <base/clock.h>
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <thread>
+
+using namespace Wasabistair;
+using namespace Wasabistair::Soak;
+
+namespace {
+
+constexpr int callersPerVm = 4;
+constexpr int callerTimeoutMs = 6'000;
+constexpr int pauseMs = 8;
+// The contract's bound on serving again.
+constexpr std::int64_t recoveryMs = 15'000;
+constexpr int tendMs = 5;
+constexpr int exitFindings = 1;
+constexpr int exitUsage = 2;
+constexpr int success = 200;
+
+std::int64_t nowMs()
+{
+    return Base::monotonicMicroseconds() / 1'000;
+}
+
+void pause(int milliseconds)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+}
+
+CallerView callOnce(SoakFleet &fleet, StandIns::CallerConnectionClient &client, int vm, const std::string &id, int number)
+{
+    CallerView view;
+    view.vm = vm;
+    view.version = number % 3 == 2 ? 1 + number / 3 % std::max(1, fleet.manifestVersion()) : 0;
+    StandIns::CallerRequest request;
+    request.id = id;
+    request.host = "h.example";
+    const bool once = number % 3 == 1;
+    request.method = once ? "POST" : "GET";
+    request.path = view.version > 0 ? "/v" + std::to_string(view.version) + "/x" : once ? "/once/x" : "/safe/x";
+    request.bodyBytes = once ? 300 : 0;
+    request.headers = {{"X-Affinity-Key", "key-" + std::to_string(number % 40)}, {"X-Deadline-Ms", "2000"}};
+    view.sentMs = nowMs();
+    view.startsBefore = fleet.starts(vm);
+    view.record = client.call(request);
+    view.startsAfter = fleet.starts(vm);
+    return view;
+}
+
+/// Calls one VM, as long as it lives over one connection, until told to end.
+void runCaller(SoakFleet &fleet, int caller, const std::atomic<bool> &ending, std::vector<CallerView> &views)
+{
+    const int vm = caller % fleet.vms();
+    StandIns::CallerConnectionClient client({"127.0.0.1", fleet.callerPort(vm)}, callerTimeoutMs);
+    for (int number = 0; !ending; ++number) {
+        views.push_back(callOnce(fleet, client, vm, "v" + std::to_string(vm) + "-c" + std::to_string(caller) + "-" + std::to_string(number), number));
+        pause(views.back().record.result == StandIns::CallerResult::Answered ? pauseMs : 5 * pauseMs);
+    }
+}
+
+void playPlan(SoakFleet &fleet, const std::vector<Fault> &plan, std::int64_t startMs, std::int64_t endMs)
+{
+    std::vector<Fault> running;
+    std::size_t next = 0;
+    while (nowMs() < endMs || !running.empty()) {
+        const std::int64_t at = nowMs() - startMs;
+        for (; next < plan.size() && plan[next].atMs <= at; ++next) {
+            std::cout << at << " ms " << toString(plan[next].kind) << " " << plan[next].target << " for " << plan[next].forMs << " ms\n";
+            fleet.begin(plan[next]);
+            running.push_back(plan[next]);
+        }
+        for (auto fault = running.begin(); fault != running.end();) {
+            const bool over = fault->atMs + fault->forMs <= at;
+            if (over) {
+                fleet.end(*fault);
+            }
+            fault = over ? running.erase(fault) : fault + 1;
+        }
+        fleet.tend();
+        pause(tendMs);
+    }
+}
+
+/// Whether each VM serves its newest route within the bound.
+void checkRecovery(SoakFleet &fleet, std::vector<std::string> &findings)
+{
+    const std::int64_t until = nowMs() + recoveryMs;
+    for (int vm = 0; vm < fleet.vms(); ++vm) {
+        bool served = false;
+        do {
+            StandIns::CallerConnectionClient client({"127.0.0.1", fleet.callerPort(vm)}, callerTimeoutMs);
+            StandIns::CallerRequest request;
+            request.id = "recovery-" + std::to_string(vm) + "-" + std::to_string(nowMs());
+            request.host = "h.example";
+            request.path = "/v" + std::to_string(fleet.manifestVersion()) + "/x";
+            served = client.call(request).status == success;
+            fleet.tend();
+        } while (!served && nowMs() < until);
+        if (!served) {
+            findings.push_back("vm-" + std::to_string(vm) + " does not serve the newest route again");
+        }
+    }
+}
+
+/// Numbers of requests by status; 0: no answer.
+std::string describeEnds(const RunRecord &record)
+{
+    std::map<int, std::size_t> ends;
+    for (const auto &views : record.callers) {
+        for (const CallerView &view : views) {
+            ++ends[view.record.status];
+        }
+    }
+    std::string text = "requests by status";
+    for (const auto &[status, count] : ends) {
+        text += " " + std::to_string(status) + ":" + std::to_string(count);
+    }
+    return text;
+}
+
+std::vector<std::string> runSeed(std::uint64_t seed, const Size &size, const std::string &logs, bool bounds)
+{
+    SoakFleet fleet(size, logs);
+    std::vector<std::string> findings;
+    checkRecovery(fleet, findings);
+    RunRecord record;
+    record.plan = drawPlan(seed, size);
+    record.callers.resize(static_cast<std::size_t>(callersPerVm * size.vms));
+    record.startMs = nowMs();
+    std::atomic<bool> ending{false};
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < record.callers.size(); ++i) {
+        callers.emplace_back([&, i] { runCaller(fleet, static_cast<int>(i), ending, record.callers[i]); });
+    }
+    playPlan(fleet, record.plan, record.startMs, record.startMs + size.durationMs);
+    checkRecovery(fleet, findings);
+    ending = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    record.leavings = fleet.leavings();
+    std::vector<UpstreamRuns> runs;
+    for (const auto &upstream : fleet.upstreams()) {
+        runs.push_back({upstream->zone(), upstream->runs()});
+    }
+    const auto judged = judgeRun(record, runs, bounds);
+    findings.insert(findings.end(), judged.begin(), judged.end());
+    const auto ended = fleet.findings();
+    findings.insert(findings.end(), ended.begin(), ended.end());
+    std::cout << "seed " << seed << ": " << record.plan.size() << " faults, " << describeEnds(record) << ", " << findings.size() << " findings\n";
+    return findings;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    cxxopts::Options options("wasabistair_soak", "Plays seeded faults on real entry VMs and checks what callers and upstreams see.");
+    options.add_options()("seed", "First seed.", cxxopts::value<std::uint64_t>()->default_value("1"))("seeds", "Number of seeds.",
+        cxxopts::value<std::uint64_t>()->default_value("1"))("vms", "Entry VMs.", cxxopts::value<int>()->default_value("3"))("upstreams", "Upstreams.",
+        cxxopts::value<int>()->default_value("8"))("seconds", "Length of the load, in s.", cxxopts::value<int>()->default_value("20"))("logs",
+        "Directory for the VMs' logs.",
+        cxxopts::value<std::string>()->default_value(""))("no-bounds", "Check only what holds at any speed of the machine.")("help", "Show this.");
+    try {
+        const auto chosen = options.parse(argc, argv);
+        if (chosen.count("help") > 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        const Size size{chosen["vms"].as<int>(), chosen["upstreams"].as<int>(), std::int64_t{1'000} * chosen["seconds"].as<int>()};
+        bool clean = true;
+        const auto first = chosen["seed"].as<std::uint64_t>();
+        for (std::uint64_t seed = first; seed < first + chosen["seeds"].as<std::uint64_t>(); ++seed) {
+            for (const std::string &finding : runSeed(seed, size, chosen["logs"].as<std::string>(), chosen.count("no-bounds") == 0)) {
+                std::cout << "FOUND seed " << seed << ": " << finding << std::endl;
+                clean = false;
+            }
+        }
+        return clean ? 0 : exitFindings;
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << "wasabistair_soak: " << error.what() << "\n";
+        return exitUsage;
+    }
+}
--- /dev/null
+++ b/tests/soak/soakplan.cpp
@@ -0,0 +1,68 @@
+#include "soakplan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace Wasabistair::Soak {
+
+namespace {
+
+// One fault begins in so many ms, on average.
+constexpr std::int64_t faultEveryMs = 500;
+constexpr std::int64_t shortestMs = 300;
+constexpr std::int64_t longestMs = 4'000;
+// One in so many draws is a series of the same fault on neighbours.
+constexpr int seriesOneIn = 5;
+constexpr int longestSeries = 4;
+constexpr std::int64_t seriesGapMs = 250;
+// Part of the run, in percent, by whose end all faults are over.
+constexpr std::int64_t faultyPercent = 65;
+
+bool isOfVm(FaultKind kind)
+{
+    return kind == FaultKind::StoreSilent || kind == FaultKind::StoreCut || kind == FaultKind::StoreDelayed || kind >= FaultKind::VmPaused;
+}
+
+int targetsOf(FaultKind kind, const Size &size)
+{
+    if (isOfVm(kind)) {
+        return size.vms;
+    }
+    return kind == FaultKind::ZoneEvacuated ? 2 : size.upstreams;
+}
+
+} // namespace
+
+std::string_view toString(FaultKind kind)
+{
+    static constexpr std::array<std::string_view, faultKindCount> names = {"store-silent", "upstream-silent", "store-cut", "upstream-cut", "store-delayed",
+        "upstream-delayed", "store-busy", "store-loses-answers", "store-forgets", "upstream-spoils", "upstream-fails", "upstream-sheds", "upstream-drains",
+        "upstream-replaced", "zone-evacuated", "manifest-grows", "vm-paused", "vm-killed", "vm-stopped", "vm-reloaded"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+std::vector<Fault> drawPlan(std::uint64_t seed, const Size &size)
+{
+    std::mt19937_64 random(seed);
+    const auto below = [&](std::int64_t limit) { return static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(limit)); };
+    const std::int64_t faultyMs = size.durationMs * faultyPercent / 100;
+    std::vector<Fault> plan;
+    for (std::int64_t i = 0; i < faultyMs / faultEveryMs; ++i) {
+        const auto kind = static_cast<FaultKind>(below(faultKindCount));
+        const std::int64_t series = below(seriesOneIn) == 0 ? 2 + below(longestSeries - 1) : 1;
+        const std::int64_t at = below(faultyMs);
+        const std::int64_t first = below(targetsOf(kind, size));
+        for (std::int64_t part = 0; part < series; ++part) {
+            Fault fault{kind, at + part * seriesGapMs, shortestMs + below(longestMs - shortestMs), static_cast<int>((first + part) % targetsOf(kind, size))};
+            fault.forMs = std::min(fault.forMs, faultyMs - fault.atMs);
+            if (fault.forMs >= shortestMs) {
+                plan.push_back(fault);
+            }
+        }
+    }
+    std::stable_sort(plan.begin(), plan.end(), [](const Fault &left, const Fault &right) { return left.atMs < right.atMs; });
+    return plan;
+}
+
+} // namespace Wasabistair::Soak
--- /dev/null
+++ b/tests/soak/soakupstream.cpp
@@ -0,0 +1,85 @@
+#include "soakupstream.h"
+
+#include <base/clock.h>
+
+namespace Wasabistair::Soak {
+
+namespace {
+
+using StandIns::ReceivedRequest;
+using StandIns::ScriptedAnswer;
+using StandIns::ScriptedUpstream;
+
+constexpr int workMs = 25;
+// While an upstream fails, sheds or spoils, it does so with two of three requests.
+constexpr unsigned faultyOf = 3;
+constexpr std::size_t cutBytes = 5;
+
+} // namespace
+
+SoakUpstream::SoakUpstream(std::string name, std::string zone)
+    : zone_(std::move(zone))
+    , name_(std::move(name))
+    , upstream_([this](const ReceivedRequest &request) { return answer(request); })
+    , relay_(upstream_.port())
+{}
+
+std::uint16_t SoakUpstream::port() const
+{
+    return relay_.port();
+}
+
+std::string SoakUpstream::name() const
+{
+    const std::lock_guard lock(mutex_);
+    return name_;
+}
+
+const std::string &SoakUpstream::zone() const
+{
+    return zone_;
+}
+
+void SoakUpstream::rename(const std::string &name)
+{
+    const std::lock_guard lock(mutex_);
+    name_ = name;
+}
+
+std::vector<Run> SoakUpstream::runs() const
+{
+    const std::lock_guard lock(mutex_);
+    return runs_;
+}
+
+StandIns::TcpRelay &SoakUpstream::relay()
+{
+    return relay_;
+}
+
+ScriptedAnswer SoakUpstream::answer(const ReceivedRequest &request)
+{
+    const std::string target = request.header("X-Target-Instance");
+    if (target != name()) {
+        return {ScriptedUpstream::wholeAnswer(request, 421, "another instance")};
+    }
+    const bool faulty = count_.fetch_add(1) % faultyOf != 0;
+    if (faulty && sheds > 0) {
+        return {ScriptedUpstream::wholeAnswer(request, 503, "full", "X-Not-Executed: 1\r\n")};
+    }
+    const std::string id = request.header("X-Request-Id");
+    {
+        const std::lock_guard lock(mutex_);
+        runs_.push_back({id, target, Base::monotonicMicroseconds() / 1'000});
+    }
+    if (faulty && fails > 0) {
+        return {ScriptedUpstream::wholeAnswer(request, 500, "failed")};
+    }
+    const std::string whole = ScriptedUpstream::wholeAnswer(request, 200, "id=" + id + "; body of " + std::to_string(request.body.size()));
+    if (faulty && spoils > 0) {
+        return {.bytes = whole.substr(0, whole.size() - cutBytes), .delayMs = workMs, .resetAfter = true};
+    }
+    return {.bytes = whole, .delayMs = workMs};
+}
+
+} // namespace Wasabistair::Soak
