--- a/src/libs/operators/logstory.cpp
+++ b/src/libs/operators/logstory.cpp
@@ -1,6 +1,7 @@
 #include "logstory.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 
 namespace Wasabistair::Operators {
@@ -48,7 +49,7 @@
             continue;
         }
         const bool sameUpstream = upstreams.contains(line.field("upstream"));
-        const bool sameService = !service.empty() && line.field("service") == service;
+        const bool sameService = line.event == "upstream-standing" && !service.empty() && line.field("service") == service;
         if (sameUpstream || sameService || isAboutTheVm(line)) {
             related.push_back(line);
         }
@@ -72,6 +73,17 @@
     return shortest;
 }
 
+/// Whether other requests, at any VM, waited long at @p end's upstream at about that time: half as long, or till their deadline.
+bool othersWaited(const std::vector<LogLine> &lines, const LogLine &end)
+{
+    const std::string upstream = end.field("upstream");
+    return std::any_of(lines.begin(), lines.end(), [&](const LogLine &line) {
+        const bool other = line.event == "request" && line.field("upstream") == upstream && line.field("request") != end.field("request");
+        const bool near = std::abs(line.wallMs - end.wallMs) <= relatedAfterMs;
+        return other && near && line.field("outcome") != "broken" && 2 * line.number("tookMs") >= end.number("tookMs");
+    });
+}
+
 bool hasRelated(const std::vector<LogLine> &related, const std::string &upstream, const std::string &event, const std::string &key, const std::string &value)
 {
     return std::any_of(related.begin(), related.end(),
@@ -96,7 +108,8 @@
     if (hasRelated(related, upstream, "upstream-standing", "outcome", "silent")) {
         return RequestCause::UpstreamHangs;
     }
-    return end.number("loadPercent") >= busyPercent ? RequestCause::UpstreamBusy : RequestCause::UpstreamSilent;
+    const bool busy = end.number("loadPercent") >= busyPercent || othersWaited(lines, end);
+    return busy ? RequestCause::UpstreamBusy : RequestCause::UpstreamSilent;
 }
 
 RequestCause causeOf(const std::vector<LogLine> &lines, const std::vector<LogLine> &related, const LogLine &end)
--- a/src/libs/operators/logstory.h
+++ b/src/libs/operators/logstory.h
@@ -21,7 +21,8 @@
     UpstreamAnswerBroken,
     /// The upstream was known to be slow or hanging: it was put on probation for silence.
     UpstreamHangs,
-    /// It waited for its upstream until its deadline, and the upstream was busy.
+    /// It waited for its upstream until its deadline, and the upstream was busy: by its load as known then, or because others
+    /// waited there as well.
     UpstreamBusy,
     /// The same, with an upstream that was not busy and not known to hang.
     UpstreamSilent,
--- a/tests/auto/operators/tst_logs.cpp
+++ b/tests/auto/operators/tst_logs.cpp
@@ -162,6 +162,12 @@
         end("a", 5'000, "end=deadline-sent status=504 upstream=u-1 outcome=silent loadPercent=25 tookMs=900 leftMs=0");
         CHECK((story().cause == RequestCause::UpstreamSilent));
     }
+    SUBCASE("others waited there as well")
+    {
+        end("a", 5'000, "end=deadline-sent status=504 upstream=u-1 outcome=silent loadPercent=25 tookMs=900 leftMs=0");
+        write("c", 5'600, "event=request request=r-7 end=answered status=200 route=reads upstream=u-1 outcome=answered tookMs=700");
+        CHECK((story().cause == RequestCause::UpstreamBusy));
+    }
     SUBCASE("known to hang")
     {
         end("a", 5'000, "end=deadline-sent status=504 upstream=u-1 outcome=silent loadPercent=25 tookMs=900 leftMs=0");
