explain: an upstream that takes no more connections went away

Its upstream crashed 226 ms after it began and its machine stayed silent; explain said busy, since others waited there too. The VM's own standing line of that time has connect-timeout. One subcase new.

--- a/src/libs/operators/logstory.cpp
+++ b/src/libs/operators/logstory.cpp
@@ -92,7 +92,8 @@
 
 bool wentAway(const std::vector<LogLine> &related, const std::string &upstream)
 {
-    return hasRelated(related, upstream, "upstream-unregistered", "", "") || hasRelated(related, upstream, "upstream-standing", "outcome", "no-connection");
+    return hasRelated(related, upstream, "upstream-unregistered", "", "") || hasRelated(related, upstream, "upstream-standing", "outcome", "no-connection")
+        || hasRelated(related, upstream, "upstream-standing", "outcome", "connect-timeout");
 }
 
 RequestCause causeOfSilence(const std::vector<LogLine> &lines, const std::vector<LogLine> &related, const LogLine &end)
@@ -200,7 +201,7 @@
     case RequestCause::UpstreamFailed:
         return "The upstream answered that it failed; the answer was passed on.";
     case RequestCause::UpstreamWentAway:
-        return "Its upstream left the registry or refused connections at that time; the request may have run.";
+        return "Its upstream left the registry or took no connections at that time; the request may have run.";
     case RequestCause::UpstreamAnswerBroken:
         return "The connection broke, or what came was no whole signed answer; the upstream stayed. The request may have run.";
     case RequestCause::UpstreamHangs:
--- a/src/libs/operators/logstory.h
+++ b/src/libs/operators/logstory.h
@@ -15,7 +15,7 @@
     Served,
     /// The upstream's own answer says that it failed.
     UpstreamFailed,
-    /// The upstream that had the request left the registry or refused connections.
+    /// The upstream that had the request left the registry, refused connections or no longer took any.
     UpstreamWentAway,
     /// What the upstream sent was no whole answer, or its connection broke, and it is still there.
     UpstreamAnswerBroken,
--- a/tests/auto/operators/tst_logs.cpp
+++ b/tests/auto/operators/tst_logs.cpp
@@ -162,6 +162,13 @@
         end("a", 5'000, "end=deadline-sent status=504 upstream=u-1 outcome=silent loadPercent=25 tookMs=900 leftMs=0");
         CHECK((story().cause == RequestCause::UpstreamSilent));
     }
+    SUBCASE("gone without a word")
+    {
+        // Its machine is off: nothing is reset, and connections just time out.
+        end("a", 5'000, "end=deadline-sent status=504 upstream=u-1 outcome=silent loadPercent=25 tookMs=900 leftMs=0");
+        write("a", 4'800, "event=upstream-standing upstream=u-1 service=catalogue before=sound after=probation outcome=connect-timeout");
+        CHECK((story().cause == RequestCause::UpstreamWentAway));
+    }
     SUBCASE("others waited there as well")
     {
         end("a", 5'000, "end=deadline-sent status=504 upstream=u-1 outcome=silent loadPercent=25 tookMs=900 leftMs=0");
