--- a/cmake/WasabistairTargets.cmake
+++ b/cmake/WasabistairTargets.cmake
@@ -34,6 +34,8 @@
     set(ARG_TIMEOUT 600)
   endif()
   # RapidCheck takes its seed from here, so that every run has the same verdict.
+  # Logs of the VMs that a test starts stay for the search of a failure that shows once.
+  file(MAKE_DIRECTORY ${CMAKE_BINARY_DIR}/test-logs/${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT}
-    ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=300;WASABISTAIR_BIN=${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
+    ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=300;WASABISTAIR_BIN=${CMAKE_RUNTIME_OUTPUT_DIRECTORY};WASABISTAIR_TEST_LOGS=${CMAKE_BINARY_DIR}/test-logs/${name}")
 endfunction()
--- a/tests/standins/childprocess.cpp
+++ b/tests/standins/childprocess.cpp
@@ -93,6 +93,12 @@
     wait();
 }
 
+std::string ChildProcess::describeEnd()
+{
+    const int code = waitFor(1);
+    return code < 0 ? "running" : "ended with code " + std::to_string(code);
+}
+
 bool ChildProcess::isRunning() const
 {
     return !ended_ && ::kill(pid_, 0) == 0;
--- a/tests/standins/childprocess.h
+++ b/tests/standins/childprocess.h
@@ -22,6 +22,8 @@
     /// As wait(), but gives up after @p milliseconds with -1.
     int waitFor(int milliseconds);
     void kill();
+    /// For messages: whether it runs, or how it ended.
+    [[nodiscard]] std::string describeEnd();
     [[nodiscard]] bool isRunning() const;
     [[nodiscard]] pid_t pid() const;
     /// Resident memory in bytes.
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -199,8 +199,8 @@
         return true;
     }
     for (const std::size_t i : notReady(generation)) {
-        std::fprintf(
-            stderr, "%s is not ready with generation %llu: %s\n", vms_[i].vm.id.c_str(), static_cast<unsigned long long>(generation), status(i).dump().c_str());
+        std::fprintf(stderr, "%s (%s) is not ready with generation %llu: %s\n", vms_[i].vm.id.c_str(), vms_[i].process->describeEnd().c_str(),
+            static_cast<unsigned long long>(generation), status(i).dump().c_str());
     }
     const auto slots = Platform::tryStore([&] { return store_.get("wasabistair/slots/" + plan_.regions.front()); });
     std::fprintf(stderr, "slots of %s: %s\n", plan_.regions.front().c_str(), slots ? slots.value->value.c_str() : "none");
