--- a/src/tools/commands.h
+++ b/src/tools/commands.h
@@ -42,6 +42,8 @@
     std::string vm;
     std::string kind;
     std::string request;
+    std::string pattern;
+    std::int64_t seed = 1;
     std::string upstream;
     std::string manifest;
     std::int64_t baseGeneration = -1;
@@ -60,6 +62,8 @@
 [[nodiscard]] ExitCode pruneCommand(Platform::ObjectStore &store);
 /// Explains a request, or shows what the logs of VMs say of an upstream, a VM or a manifest. @p files: standard input if empty.
 [[nodiscard]] ExitCode explainCommand(const std::vector<std::string> &files, const CommandOptions &options);
+/// Compares ways to choose upstreams on a model of the fleet.
+[[nodiscard]] ExitCode experimentCommand(const CommandOptions &options);
 /// Prints the reference of all objects, as in docs/objects.md.
 [[nodiscard]] ExitCode schemaCommand();
 
--- /dev/null
+++ b/src/tools/experimentcommand.cpp
@@ -0,0 +1,60 @@
+#include "commands.h"
+
+#include "commandsupport.h"
+
+#include <model/model.h>
+
+#include <cstdio>
+#include <iostream>
+
+namespace Wasabistair::Tools {
+
+using namespace Internal;
+
+namespace {
+
+std::string decimal(double value)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f", value);
+    return text;
+}
+
+void addRows(Operators::Table &table, const std::string &fleet, Model::Plan plan, const std::vector<Model::Pattern> &patterns, std::uint64_t seed)
+{
+    for (const Model::Pattern pattern : patterns) {
+        plan.pattern = pattern;
+        for (const Model::Policy &policy : Model::knownPolicies()) {
+            const Model::Result result = Model::runModel(plan, policy, seed);
+            table.addRow(
+                {fleet, std::string(Model::toString(pattern)), policy.name, decimal(result.value()), decimal(result.worstWindow), std::to_string(result.inTime),
+                    std::to_string(result.late), std::to_string(result.refused), std::to_string(result.failed), std::to_string(result.medianMs)});
+        }
+    }
+}
+
+} // namespace
+
+ExitCode experimentCommand(const CommandOptions &options)
+{
+    std::vector<Model::Pattern> patterns;
+    Model::Pattern chosen = Model::Pattern::Calm;
+    if (options.pattern.empty()) {
+        for (int i = 0; i < Model::patternCount; ++i) {
+            patterns.push_back(static_cast<Model::Pattern>(i));
+        }
+    } else if (Model::parsePattern(options.pattern, chosen)) {
+        patterns.push_back(chosen);
+    } else {
+        std::cerr << "wasabistairctl: --pattern: calm, crowd, crash, slow or join\n";
+        return ExitCode::BadUsage;
+    }
+    Operators::Table table({"fleet", "pattern", "policy", "value", "worst 2 s", "in time", "late", "refused", "failed", "p50 ms"});
+    const auto seed = static_cast<std::uint64_t>(options.seed);
+    addRows(table, "12 VMs", {}, patterns, seed);
+    addRows(table, "68 VMs", Model::grownPlan(), patterns, seed);
+    print(table, options.output);
+    return ExitCode::Ok;
+}
+
+} // namespace Wasabistair::Tools
--- a/src/tools/main.cpp
+++ b/src/tools/main.cpp
@@ -31,6 +31,7 @@
   lookup         Explain a look-up (--service, --client, --vm).
   explain FILE…  Explain a request (--request), or show what VMs' logs say of an
                  upstream, VM or manifest (--upstream, --vm, --manifest).
+  experiment     Compare ways to choose upstreams on a model (--pattern, --seed).
   prune          Remove content that no kept generation uses.
   schema         Print the reference of all objects.
 
@@ -55,6 +56,7 @@
         text("output", "table", "table, json or csv."), text("month", "", "Month of the report, YYYY-MM; the present one if empty."),
         text("plot", "", "File for an SVG plot of the report."), text("service", "", "Service to look up."),
         text("client", "", "Caller's address; needs VMs that trust the parameter."), text("vm", "", "Only this VM."),
+        text("pattern", "", "Load pattern of the experiment; all if empty."), {"seed", SettingType::Integer, "1", "Seed of the experiment.", 0, INT64_MAX},
         text("request", "", "Id of the request to explain."), text("upstream", "", "Upstream to show."),
         text("manifest", "", "Version of the manifest to show."), text("kind", "", "Only events of this kind."),
         {"base-generation", SettingType::Integer, "-1", "Publish only on top of this generation; -1 for any.", -1, INT64_MAX},
@@ -117,6 +119,9 @@
     if (command == "lookup") {
         return Tools::lookupCommand(store, options);
     }
+    if (command == "experiment") {
+        return Tools::experimentCommand(options);
+    }
     if (command == "prune") {
         return Tools::pruneCommand(store);
     }
@@ -153,6 +158,8 @@
     options.vm = settings.text("vm");
     options.kind = settings.text("kind");
     options.request = settings.text("request");
+    options.pattern = settings.text("pattern");
+    options.seed = settings.integer("seed");
     options.upstream = settings.text("upstream");
     options.manifest = settings.text("manifest");
     options.baseGeneration = settings.integer("base-generation");
