--- a/tests/soak/soakfleet.cpp
+++ b/tests/soak/soakfleet.cpp
@@ -130,25 +130,36 @@
 
 void SoakFleet::begin(const Fault &fault)
 {
-    if (fault.kind >= FaultKind::VmPaused) {
-        applyToVm(fault, true);
-    } else if (fault.kind >= FaultKind::UpstreamSpoils || fault.kind == FaultKind::UpstreamSilent || fault.kind == FaultKind::UpstreamCut
-        || fault.kind == FaultKind::UpstreamDelayed) {
-        applyToUpstream(fault, true);
-    } else {
-        applyToStore(fault, true);
-    }
+    apply(fault, true);
 }
 
 void SoakFleet::end(const Fault &fault)
 {
-    if (fault.kind >= FaultKind::VmPaused) {
-        applyToVm(fault, false);
-    } else if (fault.kind >= FaultKind::UpstreamSpoils || fault.kind == FaultKind::UpstreamSilent || fault.kind == FaultKind::UpstreamCut
-        || fault.kind == FaultKind::UpstreamDelayed) {
-        applyToUpstream(fault, false);
-    } else {
-        applyToStore(fault, false);
+    apply(fault, false);
+}
+
+void SoakFleet::apply(const Fault &fault, bool begins)
+{
+    switch (partOf(fault.kind)) {
+    case FaultPart::Vm:
+        applyToVm(fault, begins);
+        break;
+    case FaultPart::Store:
+    case FaultPart::WayToStore:
+        applyToStore(fault, begins);
+        break;
+    case FaultPart::Upstream:
+    case FaultPart::WayToUpstream:
+        applyToUpstream(fault, begins);
+        break;
+    case FaultPart::Zone:
+        evacuate(fault.target, begins);
+        break;
+    case FaultPart::Manifest:
+        if (begins) {
+            publishManifest();
+        }
+        break;
     }
 }
 
@@ -218,31 +229,32 @@
     store_.setFaults({.busy = busy_ > 0, .loseWriteAnswers = losesAnswers_ > 0});
 }
 
-void SoakFleet::applyToUpstream(const Fault &fault, bool begins)
+void SoakFleet::evacuate(int zone, bool begins)
 {
-    const int change = begins ? 1 : -1;
-    if (fault.kind == FaultKind::ManifestGrows) {
-        if (begins) {
-            publishManifest();
-        }
-        return;
-    }
+    int &evacuations = evacuations_.at(static_cast<std::size_t>(zone));
+    evacuations += begins ? 1 : -1;
     const std::lock_guard lock(mutex_);
-    if (fault.kind == FaultKind::ZoneEvacuated) {
-        int &evacuations = evacuations_.at(static_cast<std::size_t>(fault.target));
-        evacuations += change;
-        if (begins && evacuations == 1) {
-            store_.put("evacuations", zoneName(fault.target), {{"zone", zoneName(fault.target)}});
-            leavings_.push_back({"", zoneName(fault.target), nowMs(), 0, evacuationBoundMs});
-        } else if (evacuations == 0) {
-            for (Leaving &leaving : leavings_) {
-                const bool ends = leaving.zone == zoneName(fault.target) && leaving.untilMs == 0;
-                leaving.untilMs = ends ? nowMs() : leaving.untilMs;
-            }
-            store_.remove("evacuations", zoneName(fault.target));
+    if (begins && evacuations == 1) {
+        store_.put("evacuations", zoneName(zone), {{"zone", zoneName(zone)}});
+        leavings_.push_back({"", zoneName(zone), nowMs(), 0, evacuationBoundMs});
+    } else if (evacuations == 0) {
+        for (Leaving &leaving : leavings_) {
+            const bool ends = leaving.zone == zoneName(zone) && leaving.untilMs == 0;
+            leaving.untilMs = ends ? nowMs() : leaving.untilMs;
         }
-        return;
+        store_.remove("evacuations", zoneName(zone));
     }
+}
+
+void SoakFleet::noteLeaving(const SoakUpstream &upstream)
+{
+    const std::lock_guard lock(mutex_);
+    leavings_.push_back({upstream.name(), "", nowMs(), 0, drainBoundMs});
+}
+
+void SoakFleet::applyToUpstream(const Fault &fault, bool begins)
+{
+    const int change = begins ? 1 : -1;
     SoakUpstream &upstream = *upstreams_.at(static_cast<std::size_t>(fault.target));
     switch (fault.kind) {
     case FaultKind::UpstreamSpoils:
@@ -257,14 +269,14 @@
     case FaultKind::UpstreamDrains:
         if (begins) {
             registerUpstream(upstream, "draining");
-            leavings_.push_back({upstream.name(), "", nowMs(), 0, drainBoundMs});
+            noteLeaving(upstream);
         } else {
             replaceUpstream(fault.target);
         }
         break;
     case FaultKind::UpstreamReplaced:
         if (begins) {
-            leavings_.push_back({upstream.name(), "", nowMs(), 0, drainBoundMs});
+            noteLeaving(upstream);
             replaceUpstream(fault.target);
         }
         break;
--- a/tests/soak/soakfleet.h
+++ b/tests/soak/soakfleet.h
@@ -76,6 +76,9 @@
     void registerUpstream(const SoakUpstream &upstream, const std::string &state);
     void replaceUpstream(int index);
     void publishManifest();
+    void apply(const Fault &fault, bool begins);
+    void evacuate(int zone, bool begins);
+    void noteLeaving(const SoakUpstream &upstream);
     void applyToVm(const Fault &fault, bool begins);
     void applyToStore(const Fault &fault, bool begins);
     void applyToUpstream(const Fault &fault, bool begins);
--- a/tests/soak/soakjudge.cpp
+++ b/tests/soak/soakjudge.cpp
@@ -72,21 +72,20 @@
 
 bool isOfStore(const Fault &fault)
 {
-    return fault.kind == FaultKind::StoreBusy || fault.kind == FaultKind::StoreLosesAnswers || fault.kind == FaultKind::StoreForgets;
+    return partOf(fault.kind) == FaultPart::Store;
 }
 
+/// A reload is planned work and excuses nothing.
 bool concernsVm(const Fault &fault, int vm)
 {
-    // A reload is planned work and excuses nothing.
-    const bool ofOneVm = fault.kind == FaultKind::StoreSilent || fault.kind == FaultKind::StoreCut || fault.kind == FaultKind::StoreDelayed
-        || (fault.kind >= FaultKind::VmPaused && fault.kind != FaultKind::VmReloaded);
+    const FaultPart part = partOf(fault.kind);
+    const bool ofOneVm = part == FaultPart::WayToStore || (part == FaultPart::Vm && fault.kind != FaultKind::VmReloaded);
     return isOfStore(fault) || (ofOneVm && fault.target == vm);
 }
 
 bool concernsUpstream(const Fault &fault, int upstream)
 {
-    const bool ofWay = fault.kind == FaultKind::UpstreamSilent || fault.kind == FaultKind::UpstreamCut || fault.kind == FaultKind::UpstreamDelayed;
-    return ofWay && fault.target == upstream;
+    return partOf(fault.kind) == FaultPart::WayToUpstream && fault.target == upstream;
 }
 
 /// Whether a fault that @p concerns holds at @p atMs, or was over only shortly before.
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -15,6 +15,7 @@
 // Leaving takes longer than its bound, so that what comes late can be seen.
 constexpr std::int64_t shortestLeavingMs = 5'500;
 constexpr std::int64_t longestLeavingMs = 9'000;
+constexpr int zoneCount = 2;
 // One in so many draws is a series of the same fault on neighbours.
 constexpr int seriesOneIn = 5;
 constexpr int longestSeries = 4;
@@ -22,11 +23,6 @@
 // Part of the run, in percent, by whose end all faults are over.
 constexpr std::int64_t faultyPercent = 65;
 
-bool isOfVm(FaultKind kind)
-{
-    return kind == FaultKind::StoreSilent || kind == FaultKind::StoreCut || kind == FaultKind::StoreDelayed || kind >= FaultKind::VmPaused;
-}
-
 bool isLeaving(FaultKind kind)
 {
     return kind == FaultKind::UpstreamDrains || kind == FaultKind::ZoneEvacuated;
@@ -34,14 +30,44 @@
 
 int targetsOf(FaultKind kind, const Size &size)
 {
-    if (isOfVm(kind)) {
+    const FaultPart part = partOf(kind);
+    if (part == FaultPart::Vm || part == FaultPart::WayToStore) {
         return size.vms;
     }
-    return kind == FaultKind::ZoneEvacuated ? 2 : size.upstreams;
+    return part == FaultPart::Zone ? zoneCount : size.upstreams;
 }
 
 } // namespace
 
+FaultPart partOf(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::StoreSilent:
+    case FaultKind::StoreCut:
+    case FaultKind::StoreDelayed:
+        return FaultPart::WayToStore;
+    case FaultKind::UpstreamSilent:
+    case FaultKind::UpstreamCut:
+    case FaultKind::UpstreamDelayed:
+        return FaultPart::WayToUpstream;
+    case FaultKind::StoreBusy:
+    case FaultKind::StoreLosesAnswers:
+    case FaultKind::StoreForgets:
+        return FaultPart::Store;
+    case FaultKind::ZoneEvacuated:
+        return FaultPart::Zone;
+    case FaultKind::ManifestGrows:
+        return FaultPart::Manifest;
+    case FaultKind::VmPaused:
+    case FaultKind::VmKilled:
+    case FaultKind::VmStopped:
+    case FaultKind::VmReloaded:
+        return FaultPart::Vm;
+    default:
+        return FaultPart::Upstream;
+    }
+}
+
 std::string_view toString(FaultKind kind)
 {
     static constexpr std::array<std::string_view, faultKindCount> names = {"store-silent", "upstream-silent", "store-cut", "upstream-cut", "store-delayed",
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -39,6 +39,21 @@
 constexpr int faultKindCount = 20;
 [[nodiscard]] std::string_view toString(FaultKind kind);
 
+/// What a fault is done to.
+enum class FaultPart {
+    Vm,
+    Store,
+    /// From one VM.
+    WayToStore,
+    Upstream,
+    /// From all VMs to one upstream.
+    WayToUpstream,
+    Zone,
+    Manifest,
+};
+
+[[nodiscard]] FaultPart partOf(FaultKind kind);
+
 struct Fault {
     FaultKind kind = FaultKind::StoreSilent;
     /// From the start of the load.
