--- a/src/libs/model/simulation.cpp
+++ b/src/libs/model/simulation.cpp
@@ -13,19 +13,28 @@
 
 // An answer in a third of the time by an upstream that knows the object, as measured on the users' bench.
 constexpr std::int64_t knownFactor = 3;
+// One way, within a region.
 constexpr std::int64_t networkMs = 1;
-// News of the registry reach a VM within this time after its watch.
+// News of the registry reach a VM within this time: the least time between two of its watches (platform/platformfeed.cpp).
 constexpr std::int64_t newsMs = 900;
+// The registry drops an upstream that is gone after this time.
 constexpr std::int64_t lapseMs = 2'000;
+// How the product waits for room and asks refused callers back (callers/requestpass.cpp).
 constexpr std::int64_t waitStepMs = 15;
 constexpr std::int64_t waitPartOfObjective = 8;
 constexpr std::int64_t returnAfterMs = 120;
 constexpr std::int64_t returnSpreadMs = 280;
+// Upstreams to which one request may be sent, as usual manifests say.
 constexpr int mostTries = 3;
+// The users' sheets look at windows of this length.
 constexpr std::int64_t windowMs = 2'000;
+// The patterns of model.h.
 constexpr int affectedOf = 8;
 constexpr int joiningOf = 4;
+constexpr std::int64_t slowFactor = 4;
 constexpr double crowdFactor = 1.5;
+// Work varies by this part of its mean to both sides.
+constexpr double workSpread = 0.3;
 // Steepness of the objects' popularity.
 constexpr double popularity = 0.7;
 
@@ -172,7 +181,7 @@
     }
     for (int i = 0; i < affected; ++i) {
         if (plan_.pattern == Pattern::Slow) {
-            upstreams_[static_cast<std::size_t>(i)]->slowness = 4;
+            upstreams_[static_cast<std::size_t>(i)]->slowness = slowFactor;
         } else if (plan_.pattern == Pattern::Crash) {
             upstreams_[static_cast<std::size_t>(i)]->refusesConnections = true;
             sources_.upstreams.erase("u-" + std::to_string(i));
@@ -275,7 +284,7 @@
         const Request &request = requests_[static_cast<std::size_t>(next)];
         runningAt_[next] = index;
         const double mean = static_cast<double>(plan_.workMs * upstream.slowness / (upstream.knows(request.object) ? knownFactor : 1));
-        at(static_cast<std::int64_t>(mean * (0.7 + 0.6 * uniform())), Step::Finish, next);
+        at(static_cast<std::int64_t>(mean * (1 - workSpread + 2 * workSpread * uniform())), Step::Finish, next);
     }
 }
 
