--- a/src/tools/main.cpp
+++ b/src/tools/main.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <optional>
 
 namespace {
 
@@ -84,12 +85,27 @@
     return ExitCode::BadUsage;
 }
 
+/// Commands that need no platform; nothing for others.
+std::optional<ExitCode> runLocally(const std::string &command, const std::vector<std::string> &arguments, const CommandOptions &options)
+{
+    if (command == "explain") {
+        return Tools::explainCommand({arguments.begin() + 1, arguments.end()}, options);
+    }
+    if (command == "experiment") {
+        return Tools::experimentCommand(options);
+    }
+    if (command == "schema") {
+        return Tools::schemaCommand();
+    }
+    return std::nullopt;
+}
+
 ExitCode dispatch(const Base::Settings &settings, const CommandOptions &options, Platform::ObjectStore &store)
 {
     const std::vector<std::string> &arguments = settings.positional();
     const std::string command = arguments.empty() ? "" : arguments[0];
-    if (command == "explain") {
-        return Tools::explainCommand({arguments.begin() + 1, arguments.end()}, options);
+    if (const auto code = runLocally(command, arguments, options)) {
+        return *code;
     }
     const bool takesDirectory = command == "check" || command == "diff" || command == "publish";
     if (arguments.size() != (takesDirectory ? 2U : 1U)) {
@@ -119,15 +135,9 @@
     if (command == "lookup") {
         return Tools::lookupCommand(store, options);
     }
-    if (command == "experiment") {
-        return Tools::experimentCommand(options);
-    }
     if (command == "prune") {
         return Tools::pruneCommand(store);
     }
-    if (command == "schema") {
-        return Tools::schemaCommand();
-    }
     return badUsage("unknown command " + command);
 }
 
