--- a/src/libs/model/simulation.cpp
+++ b/src/libs/model/simulation.cpp
@@ -12,7 +12,7 @@
 using Steering::TryOutcome;
 
 // An answer in a third of the time by an upstream that knows the object, as measured on the users' bench.
-constexpr std::int64_t knownFactor = 3;
+constexpr double knownFactor = 3;
 // One way, within a region.
 constexpr std::int64_t networkMs = 1;
 // News of the registry reach a VM within this time: the least time between two of its watches (platform/platformfeed.cpp).
@@ -283,7 +283,8 @@
     for (int next = upstream.startNext(); next >= 0; next = upstream.startNext()) {
         const Request &request = requests_[static_cast<std::size_t>(next)];
         runningAt_[next] = index;
-        const double mean = static_cast<double>(plan_.workMs * upstream.slowness / (upstream.knows(request.object) ? knownFactor : 1));
+        const double factor = upstream.knows(request.object) ? 1 / knownFactor : 1;
+        const double mean = static_cast<double>(plan_.workMs * upstream.slowness) * factor;
         at(static_cast<std::int64_t>(mean * (1 - workSpread + 2 * workSpread * uniform())), Step::Finish, next);
     }
 }
--- a/src/tools/explaincommand.cpp
+++ b/src/tools/explaincommand.cpp
@@ -18,7 +18,6 @@
 using nlohmann::json;
 using Operators::LogLine;
 using Operators::LogSet;
-using Operators::Subject;
 using Operators::SubjectKind;
 
 namespace {
--- a/tests/auto/tools/tst_tools.cpp
+++ b/tests/auto/tools/tst_tools.cpp
@@ -26,7 +26,7 @@
     }
 
     /// Runs the command; what it printed is in output().
-    int run(std::vector<std::string> arguments)
+    int run(const std::vector<std::string> &arguments)
     {
         std::ofstream(printed.path(), std::ios::trunc).close();
         StandIns::ChildProcess tool("wasabistairctl", arguments, printed.path());
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -136,7 +136,7 @@
     checkRecovery(fleet, findings);
     RunRecord record;
     record.plan = drawPlan(seed, size);
-    record.callers.resize(static_cast<std::size_t>(callersPerVm * size.vms));
+    record.callers.resize(static_cast<std::size_t>(callersPerVm) * static_cast<std::size_t>(size.vms));
     record.startMs = nowMs();
     std::atomic<bool> ending{false};
     std::vector<std::thread> callers;
