--- a/src/libs/operators/logstory.cpp
+++ b/src/libs/operators/logstory.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t relatedBeforeMs = 8'000;
 constexpr std::int64_t relatedAfterMs = 2'000;
 constexpr std::size_t relatedLimit = 40;
+// Clocks of caller and VM start a request's time some milliseconds apart.
+constexpr std::int64_t lastMomentMs = 20;
 // Percent of an upstream's slots in use from which a wait is put down to load.
 constexpr std::int64_t busyPercent = 100;
 
@@ -123,7 +125,9 @@
     if (kind == "outcome-unknown") {
         return wentAway(related, end.field("upstream")) ? RequestCause::UpstreamWentAway : RequestCause::UpstreamAnswerBroken;
     }
-    if (kind == "deadline-sent") {
+    // A caller that leaves as its time is up has waited in vain like one that is told so.
+    const bool leftAtDeadline = kind == "caller-gone" && end.field("outcome") == "abandoned" && end.number("leftMs") <= lastMomentMs;
+    if (kind == "deadline-sent" || leftAtDeadline) {
         return causeOfSilence(lines, related, end);
     }
     if (kind == "no-room" || kind == "deadline-unsent") {
--- a/tests/auto/operators/tst_logs.cpp
+++ b/tests/auto/operators/tst_logs.cpp
@@ -197,6 +197,20 @@
     }
 }
 
+TEST_CASE_FIXTURE(LogFixture, "callerGone_atItsDeadlineOrEarlier_isTheUpstreamsOrTheCallers")
+{
+    SUBCASE("at its deadline")
+    {
+        end("a", 5'000, "end=caller-gone status=503 upstream=u-1 outcome=abandoned loadPercent=53 tookMs=1176 leftMs=1");
+        CHECK((story().cause == RequestCause::UpstreamSilent));
+    }
+    SUBCASE("earlier")
+    {
+        end("a", 5'000, "end=caller-gone status=503 upstream=u-1 outcome=abandoned loadPercent=53 tookMs=176 leftMs=900");
+        CHECK((story().cause == RequestCause::CallerLeft));
+    }
+}
+
 TEST_CASE_FIXTURE(LogFixture, "request_inNoLog_isSaidToBeMissing")
 {
     write("a", 1'000, "event=request request=r-2 end=answered status=200");
