--- a/src/libs/callers/requestpass.cpp
+++ b/src/libs/callers/requestpass.cpp
@@ -4,6 +4,7 @@
 
 #include <base/log.h>
 #include <steering/hash.h>
+#include <steering/refusal.h>
 
 #include <Poco/Net/HTTPResponse.h>
 
@@ -22,17 +23,8 @@
 
 // Deadline of requests that state none and whose route has none.
 constexpr std::int64_t defaultBudgetMs = 30'000;
-// Waits for room: at most this part of the objective, since a caller that is refused soon can still be served in time.
-constexpr std::int64_t waitPartOfObjective = 8;
-constexpr std::int64_t longestWaitMs = 60;
-constexpr std::int64_t waitStepMs = 15;
 // Upstreams looked at while none can be reached.
 constexpr int maxChoices = 8;
-// Refused callers come back spread over this time; room appears within about the time of one request.
-constexpr std::int64_t roomAfterMs = 120;
-constexpr std::int64_t roomSpreadMs = 280;
-constexpr std::int64_t upstreamAfterMs = 300;
-constexpr std::int64_t upstreamSpreadMs = 400;
 constexpr double msPerSecond = 1000;
 // An upstream is silent when it took this many times the latency objective and had not answered.
 constexpr std::int64_t timesObjectiveForSilence = 2;
@@ -192,8 +184,8 @@
     result = call.run(upstream.entry, {request_.head, request_.body, request_.facts.requestId, route.idempotent}, caller_, deadline_);
     const Base::MonotonicMs now = context_.clock.monotonic();
     const TryOutcome outcome = outcomeOf(result);
-    if (const auto &load = result.answer.facts.load; load && load->slots > 0) {
-        service.load.note(static_cast<double>(load->running + load->waiting) / load->slots, now);
+    if (const auto &load = result.answer.facts.load) {
+        service.load.note(*load, now);
     }
     // A caller that waits for less than requests usually take says nothing about the upstream.
     const bool telling = outcome != TryOutcome::Silent || now - begin >= timesObjectiveForSilence * route.objectiveMs;
@@ -282,12 +274,13 @@
 
 bool RequestPass::waitForRoom(const Steering::RouteRule &route)
 {
-    const std::int64_t limit = route.objectiveMs > 0 ? std::min(longestWaitMs, route.objectiveMs / waitPartOfObjective) : longestWaitMs;
-    if (waitedMs_ + waitStepMs > limit || context_.clock.monotonic() + waitStepMs >= deadline_ || caller_.isPeerGone()) {
+    using Steering::roomWaitStepMs;
+    const std::int64_t limit = Steering::longestRoomWaitMs(route.objectiveMs);
+    if (waitedMs_ + roomWaitStepMs > limit || context_.clock.monotonic() + roomWaitStepMs >= deadline_ || caller_.isPeerGone()) {
         return false;
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(waitStepMs));
-    waitedMs_ += waitStepMs;
+    std::this_thread::sleep_for(std::chrono::milliseconds(roomWaitStepMs));
+    waitedMs_ += roomWaitStepMs;
     return true;
 }
 
@@ -300,8 +293,6 @@
 {
     PassResult result;
     result.end = end;
-    const auto spread
-        = [&](std::int64_t after, std::int64_t range) { return after + static_cast<std::int64_t>(pointOf(number_) * static_cast<double>(range)); };
     switch (end) {
     case PassEnd::NoRoute:
         result.status = HTTPResponse::HTTP_NOT_FOUND;
@@ -316,11 +307,11 @@
     case PassEnd::UpstreamsRefused:
     case PassEnd::DeadlineUnsent:
         result.status = HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
-        result.retryAfterMs = spread(roomAfterMs, roomSpreadMs);
+        result.retryAfterMs = Steering::returnAfterMs(Steering::RefusalReason::NoRoom, pointOf(number_));
         break;
     default:
         result.status = HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
-        result.retryAfterMs = spread(upstreamAfterMs, upstreamSpreadMs);
+        result.retryAfterMs = Steering::returnAfterMs(Steering::RefusalReason::NoUpstream, pointOf(number_));
         break;
     }
     return result;
--- a/src/libs/model/simulation.cpp
+++ b/src/libs/model/simulation.cpp
@@ -1,6 +1,7 @@
 #include "simulation.h"
 
 #include <steering/hash.h>
+#include <steering/refusal.h>
 
 #include <algorithm>
 #include <cmath>
@@ -19,11 +20,6 @@
 constexpr std::int64_t newsMs = 900;
 // The registry drops an upstream that is gone after this time.
 constexpr std::int64_t lapseMs = 2'000;
-// How the product waits for room and asks refused callers back (callers/requestpass.cpp).
-constexpr std::int64_t waitStepMs = 15;
-constexpr std::int64_t waitPartOfObjective = 8;
-constexpr std::int64_t returnAfterMs = 120;
-constexpr std::int64_t returnSpreadMs = 280;
 // Upstreams to which one request may be sent, as usual manifests say.
 constexpr int mostTries = 3;
 // The users' sheets look at windows of this length.
@@ -216,9 +212,9 @@
         ++request.tries;
         request.record->beginTry();
         at(networkMs, Step::Arrive, number);
-    } else if (request.waitedMs + waitStepMs <= plan_.objectiveMs / waitPartOfObjective) {
-        request.waitedMs += waitStepMs;
-        at(waitStepMs, Step::Dispatch, number);
+    } else if (request.waitedMs + Steering::roomWaitStepMs <= Steering::longestRoomWaitMs(plan_.objectiveMs)) {
+        request.waitedMs += Steering::roomWaitStepMs;
+        at(Steering::roomWaitStepMs, Step::Dispatch, number);
     } else {
         refuse(number);
     }
@@ -236,14 +232,14 @@
     request.waitedMs = 0;
     request.tries = 0;
     request.tried.clear();
-    at(returnAfterMs + static_cast<std::int64_t>(uniform() * returnSpreadMs), Step::Dispatch, number);
+    at(Steering::returnAfterMs(Steering::RefusalReason::NoRoom, uniform()), Step::Dispatch, number);
 }
 
 void Simulation::endTry(Request &request, TryOutcome outcome, const std::optional<Steering::ReportedLoad> &load)
 {
     Steering::ServiceRecord &service = *vms_[static_cast<std::size_t>(request.vm)]->roster->services.at("s").record;
     if (load && policy_.serviceMean) {
-        service.load.note(static_cast<double>(load->running + load->waiting) / load->slots, nowMs_);
+        service.load.note(*load, nowMs_);
     }
     request.record->endTry(outcome, load, service.silentShare.load(), nowMs_);
     request.upstream = -1;
--- a/src/libs/nodes/peerlink.cpp
+++ b/src/libs/nodes/peerlink.cpp
@@ -51,7 +51,10 @@
 std::optional<PeerDatagram> decodeDatagram(const std::uint8_t *bytes, std::size_t size)
 {
     const auto read = Base::readCbor(bytes, size, maxDepth);
-    const Json json = read.value_or(Json());
+    if (!read) {
+        return std::nullopt;
+    }
+    const Json &json = *read;
     if (!json.is_array() || json.size() != 2 || !json[0].is_boolean() || !json[1].is_array() || json[1].size() > maxReports) {
         return std::nullopt;
     }
--- a/src/libs/steering/serviceload.cpp
+++ b/src/libs/steering/serviceload.cpp
@@ -14,8 +14,12 @@
 
 } // namespace
 
-void ServiceLoad::note(double loadPerSlot, std::int64_t nowMs)
+void ServiceLoad::note(const ReportedLoad &load, std::int64_t nowMs)
 {
+    if (load.slots <= 0) {
+        return;
+    }
+    const double loadPerSlot = static_cast<double>(load.running + load.waiting) / load.slots;
     // A lost update among threads loses one of many reports.
     const double mean = at(nowMs);
     mean_.store(mean + weightOfNewest * (loadPerSlot - mean), std::memory_order_relaxed);
--- a/src/libs/steering/serviceload.h
+++ b/src/libs/steering/serviceload.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "upstreamrecord.h"
+
 #include <atomic>
 #include <cstdint>
 
@@ -10,7 +12,8 @@
 class ServiceLoad
 {
 public:
-    void note(double loadPerSlot, std::int64_t nowMs);
+    /// Reports without slots are left out.
+    void note(const ReportedLoad &load, std::int64_t nowMs);
     /// Fades to 0 when nothing is reported, so that a service that was full is tried again.
     [[nodiscard]] double at(std::int64_t nowMs) const;
 
--- a/src/libs/steering/upstreamchoice.cpp
+++ b/src/libs/steering/upstreamchoice.cpp
@@ -39,6 +39,31 @@
     return view.load / std::max(1, view.slots);
 }
 
+std::optional<std::size_t> chooseRanked(
+    const std::vector<UpstreamView> &upstreams, const std::vector<std::size_t> &order, const ChoiceQuery &query, const MayUse &mayUse)
+{
+    for (std::size_t place = 0; place < order.size(); ++place) {
+        const UpstreamView &view = upstreams[order[place]];
+        if (loadPerSlot(view) < std::min(softLimits[place], query.hardLimit) && mayUse(order[place])) {
+            return order[place];
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> chooseIdle(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const MayUse &mayUse)
+{
+    std::vector<std::size_t> rest;
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+        if (isUsable(upstreams[i]) && loadPerSlot(upstreams[i]) < std::min(idleLoad, query.hardLimit)) {
+            rest.push_back(i);
+        }
+    }
+    std::sort(rest.begin(), rest.end(), [&](std::size_t left, std::size_t right) { return loadPerSlot(upstreams[left]) < loadPerSlot(upstreams[right]); });
+    const auto taken = std::find_if(rest.begin(), rest.end(), mayUse);
+    return taken == rest.end() ? std::nullopt : std::optional(*taken);
+}
+
 } // namespace
 
 double rendezvousScore(std::uint64_t idHash, std::uint64_t keyHash, double weight)
@@ -64,35 +89,19 @@
     return order;
 }
 
-std::optional<std::size_t> chooseRanked(
-    const std::vector<UpstreamView> &upstreams, const std::vector<std::size_t> &order, const ChoiceQuery &query, const MayUse &mayUse)
+std::optional<std::size_t> chooseUpstream(
+    std::vector<UpstreamView> &upstreams, const std::vector<std::size_t> &order, const ChoiceQuery &query, const LoadOf &loadOf, const MayUse &mayUse)
 {
-    for (std::size_t place = 0; place < order.size(); ++place) {
-        const UpstreamView &view = upstreams[order[place]];
-        if (loadPerSlot(view) < std::min(softLimits[place], query.hardLimit) && mayUse(order[place])) {
-            return order[place];
-        }
+    for (const std::size_t index : order) {
+        upstreams[index].load = loadOf(index);
+    }
+    if (const auto ranked = chooseRanked(upstreams, order, query, mayUse)) {
+        return ranked;
     }
-    return std::nullopt;
-}
-
-std::optional<std::size_t> chooseIdle(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const MayUse &mayUse)
-{
-    std::vector<std::size_t> rest;
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
-        if (isUsable(upstreams[i]) && loadPerSlot(upstreams[i]) < std::min(idleLoad, query.hardLimit)) {
-            rest.push_back(i);
-        }
+        upstreams[i].load = loadOf(i);
     }
-    std::sort(rest.begin(), rest.end(), [&](std::size_t left, std::size_t right) { return loadPerSlot(upstreams[left]) < loadPerSlot(upstreams[right]); });
-    const auto taken = std::find_if(rest.begin(), rest.end(), mayUse);
-    return taken == rest.end() ? std::nullopt : std::optional(*taken);
-}
-
-std::optional<std::size_t> chooseUpstream(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const MayUse &mayUse)
-{
-    const auto ranked = chooseRanked(upstreams, rankUpstreams(upstreams, query), query, mayUse);
-    return ranked ? ranked : chooseIdle(upstreams, query, mayUse);
+    return chooseIdle(upstreams, query, mayUse);
 }
 
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamchoice.h
+++ b/src/libs/steering/upstreamchoice.h
@@ -18,7 +18,7 @@
     int slots = 1;
     /// Part of its keys that it takes, 0 to 1; grows while an upstream joins.
     double ramp = 1;
-    /// Running and waiting requests, estimated.
+    /// Running and waiting requests, estimated; set by chooseUpstream.
     double load = 0;
     /// Whether the upstream stands in this VM's region.
     bool local = false;
@@ -47,18 +47,15 @@
 /// Indices of usable upstreams in the order of the key; at most rankedLimit.
 [[nodiscard]] std::vector<std::size_t> rankUpstreams(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query);
 
+/// Tells an upstream's load; asked for those only that are looked at.
+using LoadOf = std::function<double(std::size_t)>;
 /// Decides last about an upstream that would be taken: rate gates and moves between regions are counted there.
 using MayUse = std::function<bool(std::size_t)>;
 
-/// The first upstream in @p order, as rankUpstreams gives it, with room; nothing when none has. Looks at the load of those only.
-[[nodiscard]] std::optional<std::size_t> chooseRanked(
-    const std::vector<UpstreamView> &upstreams, const std::vector<std::size_t> &order, const ChoiceQuery &query, const MayUse &mayUse);
-
-/// The least loaded of the idle upstreams; nothing when none is idle.
-[[nodiscard]] std::optional<std::size_t> chooseIdle(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const MayUse &mayUse);
-
-/// The first upstream in the key's order with room; else the least loaded idle one; else nothing.
-[[nodiscard]] std::optional<std::size_t> chooseUpstream(const std::vector<UpstreamView> &upstreams, const ChoiceQuery &query, const MayUse &mayUse);
+/// The first upstream in @p order, as rankUpstreams gives it, with room; else the least loaded idle one; else nothing. Sets the
+/// loads of the upstreams that it looks at: those of the order, or of all.
+[[nodiscard]] std::optional<std::size_t> chooseUpstream(
+    std::vector<UpstreamView> &upstreams, const std::vector<std::size_t> &order, const ChoiceQuery &query, const LoadOf &loadOf, const MayUse &mayUse);
 
 /// Upstreams of a key that are looked at in its order.
 constexpr std::size_t rankedLimit = 3;
--- a/src/libs/steering/upstreamselector.cpp
+++ b/src/libs/steering/upstreamselector.cpp
@@ -33,12 +33,12 @@
         || upstream.record->inFlight() < std::max(2.0, connectionPart * static_cast<double>(rule.maxConnections) / roster.fleetSize);
 }
 
-double loadOf(const ServiceRoster &service, const RosterUpstream &upstream, std::int64_t nowMs)
+double estimatedLoad(const ServiceRoster &service, const RosterUpstream &upstream, std::int64_t nowMs)
 {
     return upstream.record->loadAt(nowMs, service.record->load.at(nowMs) * upstream.entry.slots);
 }
 
-/// All but the load, which only those need that come first for the key.
+/// All but the load.
 UpstreamView viewOf(const Roster &roster, const ServiceRoster &service, const RosterUpstream &upstream, const SelectionQuery &query)
 {
     UpstreamView view;
@@ -53,6 +53,21 @@
     return view;
 }
 
+/// Views of all upstreams; counts the slots of those that take requests in @p room.
+std::vector<UpstreamView> viewsOf(const Roster &roster, const ServiceRoster &service, const SelectionQuery &query, RegionRoom &room)
+{
+    std::vector<UpstreamView> views;
+    views.reserve(service.upstreams.size());
+    for (const RosterUpstream &upstream : service.upstreams) {
+        views.push_back(viewOf(roster, service, upstream, query));
+        const UpstreamView &view = views.back();
+        if (!view.excluded && view.standing != Standing::Suspended) {
+            (view.local ? room.localSlots : room.remoteSlots) += view.slots;
+        }
+    }
+    return views;
+}
+
 bool passGates(const Roster &roster, const ServiceRoster &service, const RosterUpstream &upstream, const SelectionQuery &query, const SelectorBounds &bounds)
 {
     if (upstream.record->isColdAt(query.nowMs) && service.rule.coldRequestsPerSecond > 0) {
@@ -101,16 +116,8 @@
 
 Selection selectUpstream(const Roster &roster, const ServiceRoster &service, const SelectionQuery &query, const SelectorBounds &bounds, RegionFlow &flow)
 {
-    std::vector<UpstreamView> views;
-    views.reserve(service.upstreams.size());
     RegionRoom room;
-    for (const RosterUpstream &upstream : service.upstreams) {
-        views.push_back(viewOf(roster, service, upstream, query));
-        const UpstreamView &view = views.back();
-        if (!view.excluded && view.standing != Standing::Suspended) {
-            (view.local ? room.localSlots : room.remoteSlots) += view.slots;
-        }
-    }
+    std::vector<UpstreamView> views = viewsOf(roster, service, query, room);
     ChoiceQuery choice;
     choice.keyHash = query.keyHash;
     const double share = service.record->localShare.load(std::memory_order_relaxed);
@@ -126,16 +133,8 @@
         const bool moves = upstream.regionIndex != plannedRegion;
         return (!moves || flow.mayMoveTo(upstream.regionIndex, query.nowMs)) && passGates(roster, service, upstream, query, bounds);
     };
-    for (const std::size_t index : order) {
-        views[index].load = loadOf(service, service.upstreams[index], query.nowMs);
-    }
-    auto chosen = chooseRanked(views, order, choice, mayUse);
-    if (!chosen) {
-        for (std::size_t i = 0; i < views.size(); ++i) {
-            views[i].load = loadOf(service, service.upstreams[i], query.nowMs);
-        }
-        chosen = chooseIdle(views, choice, mayUse);
-    }
+    const auto loadOf = [&](std::size_t index) { return estimatedLoad(service, service.upstreams[index], query.nowMs); };
+    const auto chosen = chooseUpstream(views, order, choice, loadOf, mayUse);
     if (!chosen) {
         return {SelectionEnd::AllFull, nullptr, leastLoadPerSlot(views)};
     }
--- a/tests/auto/steering/tst_serviceload.cpp
+++ b/tests/auto/steering/tst_serviceload.cpp
@@ -7,13 +7,16 @@
 
 namespace {
 
+/// Many, so that any load per slot is a whole number of requests.
+constexpr int slotsOfReports = 1'000;
+
 struct ServiceLoadFixture {
     /// Reports of @p loadPerSlot, one each 50 ms.
     void report(double loadPerSlot, int times)
     {
         for (int i = 0; i < times; ++i) {
             nowMs += 50;
-            load.note(loadPerSlot, nowMs);
+            load.note({static_cast<int>(loadPerSlot * slotsOfReports), 0, slotsOfReports}, nowMs);
         }
     }
 
--- a/tests/auto/steering/tst_upstreamchoice.cpp
+++ b/tests/auto/steering/tst_upstreamchoice.cpp
@@ -12,6 +12,14 @@
 
 namespace {
 
+/// Chooses among @p upstreams, whose loads are known beforehand.
+std::optional<std::size_t> chooseKnown(std::vector<UpstreamView> upstreams, const ChoiceQuery &query, const MayUse &mayUse)
+{
+    const std::vector<UpstreamView> known = upstreams;
+    return chooseUpstream(
+        upstreams, rankUpstreams(upstreams, query), query, [&](std::size_t index) { return known[index].load; }, mayUse);
+}
+
 struct ChoiceFixture {
     ChoiceFixture()
     {
@@ -30,7 +38,7 @@
 
     [[nodiscard]] std::optional<std::size_t> choose(const std::string &key) const
     {
-        return chooseUpstream(upstreams, {hashOf(key), 1, 2.6}, [](std::size_t) { return true; });
+        return chooseKnown(upstreams, {hashOf(key), 1, 2.6}, [](std::size_t) { return true; });
     }
 
     std::vector<UpstreamView> upstreams;
@@ -137,7 +145,7 @@
         }
         const double limit = *rc::gen::inRange(5, 30) / 10.0;
         const auto refused = static_cast<std::size_t>(*rc::gen::inRange(0, 20));
-        const auto chosen = chooseUpstream(upstreams, {*rc::gen::arbitrary<std::uint64_t>(), 1, limit}, [&](std::size_t index) { return index != refused; });
+        const auto chosen = chooseKnown(upstreams, {*rc::gen::arbitrary<std::uint64_t>(), 1, limit}, [&](std::size_t index) { return index != refused; });
         if (chosen) {
             const UpstreamView &view = upstreams.at(*chosen);
             RC_ASSERT(!view.excluded);
