Tests say once what the platform hands to an entry VM

Cause, found by reading the change again: the soak's fleet had written the settings file, registry entries, routes and manifest of the entry fixture anew, tst_fuzz the samples of tst_decoding; the mutator was compiled into two tests; two commands had their own formatting of a decimal. Also gone: SoakFleet's begin and end beside apply, an unused time of the callers' views, an unused result, an unused header.

--- a/src/libs/model/modelupstream.cpp
+++ b/src/libs/model/modelupstream.cpp
@@ -1,7 +1,5 @@
 #include "modelupstream.h"
 
-#include <algorithm>
-
 namespace Wasabistair::Model {
 
 ModelUpstream::ModelUpstream(int slots, int queue, int remembered)
@@ -43,14 +41,9 @@
     places_[object] = objects_.begin();
 }
 
-bool ModelUpstream::withdraw(int request)
+void ModelUpstream::withdraw(int request)
 {
-    const auto found = std::find(waiting_.begin(), waiting_.end(), request);
-    if (found == waiting_.end()) {
-        return false;
-    }
-    waiting_.erase(found);
-    return true;
+    std::erase(waiting_, request);
 }
 
 bool ModelUpstream::knows(int object) const
--- a/src/libs/model/modelupstream.h
+++ b/src/libs/model/modelupstream.h
@@ -21,8 +21,8 @@
     [[nodiscard]] int startNext();
     /// Ends a running request and remembers its object.
     void finish(int object);
-    /// Takes a waiting request out; false when it isn't waiting.
-    bool withdraw(int request);
+    /// Takes a request out if it waits.
+    void withdraw(int request);
     [[nodiscard]] bool knows(int object) const;
     [[nodiscard]] Steering::ReportedLoad load() const;
 
--- a/src/libs/operators/clockoffsets.cpp
+++ b/src/libs/operators/clockoffsets.cpp
@@ -1,7 +1,6 @@
 #include "clockoffsets.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace Wasabistair::Operators {
 
--- a/src/tools/commandsupport.cpp
+++ b/src/tools/commandsupport.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeFormatter.h>
+#include <Poco/NumberFormatter.h>
 #include <Poco/Timestamp.h>
 
 #include <nlohmann/json.hpp>
@@ -18,6 +19,11 @@
 
 } // namespace
 
+std::string decimal(double value, int digits)
+{
+    return Poco::NumberFormatter::format(value, digits);
+}
+
 void print(const Operators::Table &table, OutputFormat format)
 {
     switch (format) {
--- a/src/tools/commandsupport.h
+++ b/src/tools/commandsupport.h
@@ -19,6 +19,8 @@
 void print(const Operators::Table &table, OutputFormat format);
 /// Names the failure on standard error.
 [[nodiscard]] ExitCode platformFailed(const Platform::PlatformError &error);
+/// @p value with so many digits behind the point.
+[[nodiscard]] std::string decimal(double value, int digits = 2);
 /// Wall clock in milliseconds since the epoch.
 [[nodiscard]] std::int64_t nowMs();
 /// ISO 8601 with milliseconds.
--- a/src/tools/experimentcommand.cpp
+++ b/src/tools/experimentcommand.cpp
@@ -4,7 +4,6 @@
 
 #include <model/model.h>
 
-#include <cstdio>
 #include <iostream>
 
 namespace Wasabistair::Tools {
@@ -13,12 +12,7 @@
 
 namespace {
 
-std::string decimal(double value)
-{
-    char text[32];
-    std::snprintf(text, sizeof(text), "%.3f", value);
-    return text;
-}
+constexpr int valueDigits = 3;
 
 void addRows(Operators::Table &table, const std::string &fleet, Model::Plan plan, const std::vector<Model::Pattern> &patterns, std::uint64_t seed)
 {
@@ -26,9 +20,9 @@
         plan.pattern = pattern;
         for (const Model::Policy &policy : Model::knownPolicies()) {
             const Model::Result result = Model::runModel(plan, policy, seed);
-            table.addRow(
-                {fleet, std::string(Model::toString(pattern)), policy.name, decimal(result.value()), decimal(result.worstWindow), std::to_string(result.inTime),
-                    std::to_string(result.late), std::to_string(result.refused), std::to_string(result.failed), std::to_string(result.medianMs)});
+            table.addRow({fleet, std::string(Model::toString(pattern)), policy.name, decimal(result.value(), valueDigits),
+                decimal(result.worstWindow, valueDigits), std::to_string(result.inTime), std::to_string(result.late), std::to_string(result.refused),
+                std::to_string(result.failed), std::to_string(result.medianMs)});
         }
     }
 }
--- a/src/tools/reportcommands.cpp
+++ b/src/tools/reportcommands.cpp
@@ -8,7 +8,6 @@
 #include <steering/schema.h>
 
 #include <algorithm>
-#include <cstdio>
 #include <fstream>
 #include <iostream>
 
@@ -20,13 +19,6 @@
 
 namespace {
 
-std::string decimal(double value)
-{
-    char text[32];
-    std::snprintf(text, sizeof(text), "%.2f", value);
-    return text;
-}
-
 Table reviewTable(const Operators::Figures &figures)
 {
     Table table({"service", "place", "answered", "refused", "failed", "p50 ms", "p99 ms", "mean headroom %", "lowest headroom %"});
--- a/tests/auto/adapter/tst_decoding.cpp
+++ b/tests/auto/adapter/tst_decoding.cpp
@@ -1,33 +1,18 @@
 #include <doctest/doctest.h>
 
 #include <platform/decoding.h>
+#include <standins/platformobjects.h>
 
 #include <rapidcheck.h>
 
 using namespace Wasabistair;
 using namespace Wasabistair::Adapter;
+using StandIns::sampleManifest;
+using StandIns::sampleUpstream;
 using Json = nlohmann::json;
 
 namespace {
 
-Json serverSpec()
-{
-    return Json::parse(R"({"address":"10.128.0.9:8080","born":1785976920000,
-        "info":{"service":"huvo11a","version":"v1","zone":"amman-a","slots":6},
-        "status":{"state":"ready","seq":4,"cold-left-ms":0}})");
-}
-
-Json manifestSpec()
-{
-    return Json::parse(R"({"version":7,"routes":{
-        "r1":{"host":"h.example","path-prefix":"/a/","kind":"safe","timeout-ms":800,"target-latency-ms":300,"priority":2,
-              "traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max-attempts":2,"sticky":true,"home-regions":[]},
-        "r2":{"host":"h.example","path-prefix":"/a/b/","kind":"unsafe","timeout-ms":1000,"priority":1,"service":"s2","max-attempts":2},
-        "r3":{"host":"h.example","path-prefix":"/c/","kind":"upload","service":"s2","home-regions":["gulf"]}},
-      "services":{"s1":{"health-path":"/health","max-connections":330,"cold-start-s":3.0,"cold-per-s":12.0},"s2":{}},
-      "limits":{"max-header-bytes":16384,"idle-timeout-ms":15000}})");
-}
-
 bool decodes(const Json &spec)
 {
     return static_cast<bool>(tryDecode([&] { return decodeUpstream({"i-1", 5, spec}); }));
@@ -37,7 +22,7 @@
 
 TEST_CASE("upstream_goodEntry_isDecoded")
 {
-    auto entry = tryDecode([&] { return decodeUpstream({"i-1", 5, serverSpec()}); });
+    auto entry = tryDecode([&] { return decodeUpstream({"i-1", 5, sampleUpstream()}); });
     REQUIRE(entry);
     CHECK((*entry.value == Steering::UpstreamEntry{"i-1", "huvo11a", "10.128.0.9", 8080, "amman-a", "v1", 6, false, 0, 1785976920000}));
 }
@@ -45,18 +30,18 @@
 TEST_CASE("upstream_entryOfAnotherWriter_namesNoUpstream")
 {
     for (const char *pointer : {"/address", "/info", "/status", "/info/service", "/info/slots", "/info/zone", "/status/state", "/status/cold-left-ms"}) {
-        Json missing = serverSpec();
+        Json missing = sampleUpstream();
         const Json::json_pointer field(pointer);
         missing[field.parent_pointer()].erase(field.back());
         CHECK_MESSAGE(!decodes(missing), pointer);
-        Json odd = serverSpec();
+        Json odd = sampleUpstream();
         odd[field] = Json::array({1});
         CHECK_MESSAGE(!decodes(odd), pointer);
     }
-    Json state = serverSpec();
+    Json state = sampleUpstream();
     state["status"]["state"] = "resting";
     CHECK_FALSE(decodes(state));
-    Json born = serverSpec();
+    Json born = sampleUpstream();
     born["born"] = "yesterday";
     CHECK_FALSE(decodes(born));
     CHECK_FALSE(decodes(Json()));
@@ -66,7 +51,7 @@
 TEST_CASE("upstream_anyDamage_neverThrows")
 {
     CHECK(rc::check([] {
-        Json spec = serverSpec();
+        Json spec = sampleUpstream();
         std::vector<std::string> pointers;
         const Json flat = spec.flatten();
         for (const auto &[pointer, value] : flat.items()) {
@@ -82,7 +67,7 @@
 
 TEST_CASE("manifest_goodOne_isDecodedWithItsMeaning")
 {
-    auto manifest = tryDecode([&] { return decodeManifest({"main", 5, manifestSpec()}); });
+    auto manifest = tryDecode([&] { return decodeManifest({"main", 5, sampleManifest()}); });
     REQUIRE(manifest);
     CHECK(manifest.value->version == 7);
     const Steering::RouteRule *route = Steering::findRoute(*manifest.value, "h.example", "/a/x");
--- a/tests/auto/entry/entryfixture.cpp
+++ b/tests/auto/entry/entryfixture.cpp
@@ -1,5 +1,6 @@
 #include "entryfixture.h"
 
+#include <standins/platformobjects.h>
 #include <standins/ports.h>
 
 #include <Poco/Exception.h>
@@ -63,12 +64,6 @@
     return answer;
 }
 
-Json upstreamSpec(std::uint16_t port, const std::string &zone, const std::string &state)
-{
-    return {{"address", "127.0.0.1:" + std::to_string(port)}, {"born", 1'785'976'920'000},
-        {"info", {{"service", "svc"}, {"version", "v1"}, {"zone", zone}, {"slots", 4}}}, {"status", {{"state", state}, {"seq", 1}, {"cold-left-ms", 0}}}};
-}
-
 } // namespace
 
 EntryFixture::EntryFixture(std::string logFile)
@@ -94,12 +89,8 @@
 
 Json EntryFixture::manifest(int version) const
 {
-    const auto route = [](const std::string &prefix, const std::string &kind) {
-        return Json{{"host", "h.example"}, {"path-prefix", prefix}, {"kind", kind}, {"timeout-ms", 1500}, {"target-latency-ms", 300}, {"priority", 1},
-            {"service", "svc"}, {"max-attempts", 2}, {"sticky", true}, {"home-regions", Json::array()}};
-    };
-    return {{"version", version}, {"routes", {{"safe", route("/safe/", "safe")}, {"once", route("/once/", "unsafe")}}},
-        {"services", {{"svc", {{"max-connections", 300}, {"cold-start-s", 3.0}, {"cold-per-s", 12.0}}}}}, {"limits", {{"idle-timeout-ms", 15000}}}};
+    const auto route = [](const std::string &prefix, const std::string &kind) { return StandIns::routeObject(prefix, kind, 1'500, 2); };
+    return StandIns::manifestObject(version, {{"safe", route("/safe/", "safe")}, {"once", route("/once/", "unsafe")}});
 }
 
 void EntryFixture::start()
@@ -109,13 +100,10 @@
     callerPort = StandIns::freePort();
     readyPort = StandIns::freePort();
     lookupPort = StandIns::freePort();
-    const auto listenAt = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
     const std::string path = directory + "/settings.toml";
     std::ofstream file(path);
-    file << "node-name = \"vm-1\"\nip = \"127.0.0.1\"\nzone = \"a\"\nregion = \"north\"\ninner-port-range = [" << StandIns::freePort() << ","
-         << StandIns::freePort()
-         << "]\nbounds = [\"grace-s=6\",\"retry-budget-slack=50\"]\n[zones]\na = \"north\"\nb = \"south\"\n[listen]\nfront = " << listenAt(callerPort)
-         << "ready-addr = " << listenAt(readyPort) << "directory = " << listenAt(lookupPort) << "[platform]\naddress = " << listenAt(store.port());
+    file << StandIns::entrySettings(
+        {"vm-1", "a", {{"a", "north"}, {"b", "south"}}, callerPort, readyPort, lookupPort, StandIns::freePort(), StandIns::freePort(), store.port()});
     file.close();
     ::setenv("WASABISTAIR_SETTINGS", path.c_str(), 1);
     vm = std::make_unique<StandIns::ChildProcess>("wasabistaird", std::vector<std::string>{"entry"}, logFile);
@@ -123,8 +111,8 @@
 
 void EntryFixture::registerUpstreams(const std::string &firstState)
 {
-    store.put("servers", "u-1", upstreamSpec(first.port(), "a", firstState));
-    store.put("servers", "u-2", upstreamSpec(second.port(), "b", "ready"));
+    store.put("servers", "u-1", StandIns::upstreamObject(first.port(), "a", firstState));
+    store.put("servers", "u-2", StandIns::upstreamObject(second.port(), "b", "ready"));
 }
 
 CallerAnswer EntryFixture::send(const std::string &method, const std::string &path, const std::string &body, const std::string &headers) const
--- a/tests/auto/entry/tst_spoiled.cpp
+++ b/tests/auto/entry/tst_spoiled.cpp
@@ -1,12 +1,12 @@
 #include "entryfixture.h"
 
-#include <fuzz/mutation.h>
+#include <standins/mutation.h>
 
 #include <doctest/doctest.h>
 
 using namespace Wasabistair;
+using Wasabistair::StandIns::Mutator;
 using Wasabistair::Tests::EntryFixture;
-using Wasabistair::Tests::Mutator;
 
 namespace {
 
--- a/tests/auto/fuzz/tst_fuzz.cpp
+++ b/tests/auto/fuzz/tst_fuzz.cpp
@@ -1,6 +1,4 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "mutation.h"
-
 #include <doctest/doctest.h>
 
 #include <http/bodydecoder.h>
@@ -9,6 +7,8 @@
 #include <operators/logline.h>
 #include <platform/decoding.h>
 #include <platform/settingsfile.h>
+#include <standins/mutation.h>
+#include <standins/platformobjects.h>
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -20,8 +20,7 @@
 #include <sstream>
 
 using namespace Wasabistair;
-using Json = nlohmann::json;
-using Wasabistair::Tests::Mutator;
+using Wasabistair::StandIns::Mutator;
 
 namespace {
 
@@ -44,50 +43,19 @@
 
 const std::string request = "POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 800\r\nContent-Length: 5\r\n\r\nhello";
 
-const std::string settings = R"(node-name = "vm-1"
-ip = "127.0.0.1"
-zone = "a"
-region = "north"
-inner-port-range = [7001,7020]
-bounds = ["grace-s=6","retry-budget-slack=50"]
-[zones]
-a = "north"
-b = "south"
-[listen]
-front = "127.0.0.1:8001"
-ready-addr = "127.0.0.1:8002"
-directory = "127.0.0.1:8003"
-[platform]
-address = "127.0.0.1:8004"
-)";
-
-Json upstreamSpec()
-{
-    return Json::parse(R"({"address":"10.128.0.9:8080","born":1785976920000,"info":{"service":"s1","version":"v1","zone":"a","slots":6},
-        "status":{"state":"ready","seq":4,"cold-left-ms":0}})");
-}
-
-Json manifestSpec()
-{
-    return Json::parse(R"({"version":7,"routes":{
-        "r1":{"host":"h.example","path-prefix":"/a/","kind":"safe","timeout-ms":800,"target-latency-ms":300,"priority":2,
-              "traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max-attempts":2,"sticky":true,"home-regions":["gulf"]},
-        "r2":{"host":"h.example","path-prefix":"/a/b/","kind":"unsafe","timeout-ms":1000,"priority":1,"service":"s2","max-attempts":2}},
-      "services":{"s1":{"health-path":"/health","max-connections":330,"cold-start-s":3.0,"cold-per-s":12.0},"s2":{}},
-      "limits":{"max-header-bytes":16384,"idle-timeout-ms":15000}})");
-}
+const StandIns::EntryPlace place{"vm-1", "a", {{"a", "north"}, {"b", "south"}}, 8001, 8002, 8003, 7001, 7020, 8004};
 
 } // namespace
 
 TEST_CASE_FIXTURE(FuzzFixture, "storeObjects_spoiled_areDecodedOrRefusedWithAField")
 {
     for (int i = 0; i < rounds; ++i) {
-        const auto upstream = Adapter::tryDecode([&] { return Adapter::decodeUpstream({"u", 1, mutator.spoilJson(upstreamSpec())}); });
+        const auto upstream = Adapter::tryDecode([&] { return Adapter::decodeUpstream({"u", 1, mutator.spoilJson(StandIns::sampleUpstream())}); });
         CHECK((upstream || !Adapter::toString(upstream.error->fault).empty()));
         if (upstream) {
             CHECK(upstream.value->slots > 0);
         }
-        const auto manifest = Adapter::tryDecode([&] { return Adapter::decodeManifest({"main", 1, mutator.spoilJson(manifestSpec())}); });
+        const auto manifest = Adapter::tryDecode([&] { return Adapter::decodeManifest({"main", 1, mutator.spoilJson(StandIns::sampleManifest())}); });
         if (manifest) {
             // Whatever was taken serves look-ups.
             static_cast<void>(Steering::findRoute(*manifest.value, "h.example", "/a/b/c"));
@@ -163,6 +131,7 @@
 
 TEST_CASE_FIXTURE(FuzzFixture, "settingsFiles_spoiled_areReadOrRefusedWithAFault")
 {
+    const std::string settings = StandIns::entrySettings(place);
     for (int i = 0; i < rounds; ++i) {
         const std::string text = mutator.spoilBytes(settings);
         const auto read = Base::attempt<Adapter::SettingsError>([&] { return Adapter::parseSettings(text, "file"); }, Adapter::SettingsError{});
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -51,7 +51,6 @@
     request.path = view.version > 0 ? "/v" + std::to_string(view.version) + "/x" : once ? "/once/x" : "/safe/x";
     request.bodyBytes = once ? 300 : 0;
     request.headers = {{"X-Affinity-Key", "key-" + std::to_string(number % 40)}, {"X-Deadline-Ms", "2000"}};
-    view.sentMs = nowMs();
     view.startsBefore = fleet.starts(vm);
     view.record = client.call(request);
     view.startsAfter = fleet.starts(vm);
@@ -77,13 +76,13 @@
         const std::int64_t at = nowMs() - startMs;
         for (; next < plan.size() && plan[next].atMs <= at; ++next) {
             std::cout << at << " ms " << toString(plan[next].kind) << " " << plan[next].target << " for " << plan[next].forMs << " ms\n";
-            fleet.begin(plan[next]);
+            fleet.apply(plan[next], true);
             running.push_back(plan[next]);
         }
         for (auto fault = running.begin(); fault != running.end();) {
             const bool over = fault->atMs + fault->forMs <= at;
             if (over) {
-                fleet.end(*fault);
+                fleet.apply(*fault, false);
             }
             fault = over ? running.erase(fault) : fault + 1;
         }
--- a/tests/soak/soakfleet.cpp
+++ b/tests/soak/soakfleet.cpp
@@ -1,6 +1,7 @@
 #include "soakfleet.h"
 
 #include <base/clock.h>
+#include <standins/platformobjects.h>
 #include <standins/ports.h>
 
 #include <Poco/TemporaryFile.h>
@@ -36,8 +37,7 @@
 
 Json route(const std::string &prefix, const std::string &kind)
 {
-    return {{"host", "h.example"}, {"path-prefix", prefix}, {"kind", kind}, {"timeout-ms", 2'000}, {"target-latency-ms", 300}, {"priority", 1},
-        {"service", "svc"}, {"max-attempts", 3}, {"sticky", true}, {"home-regions", Json::array()}};
+    return StandIns::routeObject(prefix, kind, 2'000, 3);
 }
 
 } // namespace
@@ -77,13 +77,8 @@
     vm->store = std::make_unique<StandIns::TcpRelay>(store_.port());
     vm->callerPort = StandIns::freePort();
     vm->settingsFile = directory_ + "/vm-" + std::to_string(index) + ".toml";
-    const auto listenAt = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
-    std::ofstream file(vm->settingsFile);
-    file << "node-name = \"vm-" << index << "\"\nip = \"127.0.0.1\"\nzone = \"" << zoneName(index) << "\"\nregion = \"north\"\ninner-port-range = ["
-         << StandIns::freePort() << "," << StandIns::freePort()
-         << "]\nbounds = [\"grace-s=6\",\"retry-budget-slack=50\"]\n[zones]\na = \"north\"\nb = \"north\"\n[listen]\nfront = " << listenAt(vm->callerPort)
-         << "ready-addr = " << listenAt(StandIns::freePort()) << "directory = " << listenAt(StandIns::freePort())
-         << "[platform]\naddress = " << listenAt(vm->store->port());
+    std::ofstream(vm->settingsFile) << StandIns::entrySettings({"vm-" + std::to_string(index), zoneName(index), {{"a", "north"}, {"b", "north"}},
+        vm->callerPort, StandIns::freePort(), StandIns::freePort(), StandIns::freePort(), StandIns::freePort(), vm->store->port()});
     vms_.push_back(std::move(vm));
 }
 
@@ -99,10 +94,7 @@
 
 void SoakFleet::registerUpstream(const SoakUpstream &upstream, const std::string &state)
 {
-    store_.put("servers", upstream.name(),
-        {{"address", "127.0.0.1:" + std::to_string(upstream.port())}, {"born", 1'785'976'920'000},
-            {"info", {{"service", "svc"}, {"version", "v1"}, {"zone", upstream.zone()}, {"slots", 4}}},
-            {"status", {{"state", state}, {"seq", 1}, {"cold-left-ms", 0}}}});
+    store_.put("servers", upstream.name(), StandIns::upstreamObject(upstream.port(), upstream.zone(), state));
 }
 
 void SoakFleet::replaceUpstream(int index)
@@ -122,22 +114,10 @@
         const std::string name = "v" + std::to_string(i);
         routes[name] = route("/" + name + "/", "safe");
     }
-    store_.put("config", "main",
-        {{"version", version}, {"routes", routes}, {"services", {{"svc", {{"max-connections", 300}, {"cold-start-s", 3.0}, {"cold-per-s", 12.0}}}}},
-            {"limits", {{"idle-timeout-ms", 15'000}}}});
+    store_.put("config", "main", StandIns::manifestObject(version, routes));
     manifestVersion_ = version;
 }
 
-void SoakFleet::begin(const Fault &fault)
-{
-    apply(fault, true);
-}
-
-void SoakFleet::end(const Fault &fault)
-{
-    apply(fault, false);
-}
-
 void SoakFleet::apply(const Fault &fault, bool begins)
 {
     switch (partOf(fault.kind)) {
--- a/tests/soak/soakfleet.h
+++ b/tests/soak/soakfleet.h
@@ -38,8 +38,8 @@
     SoakFleet(const SoakFleet &) = delete;
     SoakFleet &operator=(const SoakFleet &) = delete;
 
-    void begin(const Fault &fault);
-    void end(const Fault &fault);
+    /// Begins or ends @p fault.
+    void apply(const Fault &fault, bool begins);
     /// Restarts processes that were to end; notes those that ended otherwise. Call often.
     void tend();
 
@@ -76,7 +76,6 @@
     void registerUpstream(const SoakUpstream &upstream, const std::string &state);
     void replaceUpstream(int index);
     void publishManifest();
-    void apply(const Fault &fault, bool begins);
     void evacuate(int zone, bool begins);
     void noteLeaving(const SoakUpstream &upstream);
     void applyToVm(const Fault &fault, bool begins);
--- a/tests/soak/soakjudge.h
+++ b/tests/soak/soakjudge.h
@@ -19,8 +19,6 @@
     int startsAfter = 0;
     /// Version whose route was asked for; 0: a route that every version has.
     int version = 0;
-    /// Monotonic.
-    std::int64_t sentMs = 0;
 };
 
 /// What one upstream ran.
--- a/tests/auto/fuzz/mutation.cpp
+++ b/tests/standins/mutation.cpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace Wasabistair::Tests {
+namespace Wasabistair::StandIns {
 
 namespace {
 
@@ -109,4 +109,4 @@
     return document;
 }
 
-} // namespace Wasabistair::Tests
+} // namespace Wasabistair::StandIns
--- a/tests/auto/fuzz/mutation.h
+++ b/tests/standins/mutation.h
@@ -6,7 +6,7 @@
 #include <random>
 #include <string>
 
-namespace Wasabistair::Tests {
+namespace Wasabistair::StandIns {
 
 /// Spoils samples in ways that depend on the seed only.
 class Mutator
@@ -26,4 +26,4 @@
     std::mt19937_64 random_;
 };
 
-} // namespace Wasabistair::Tests
+} // namespace Wasabistair::StandIns
