A store that turns VMs away is tried by one follower at a time

Change: steering/outagegate: from four failures in a row on, one call at a time with up to 1 s between; the return is noticed within 1.2 s as before. Ruled out as the cause: lists after the outage (63 in all, at a tenth of the price for all but readers).

--- a/tests/auto/adapter/tst_kindfollower.cpp
+++ b/tests/auto/adapter/tst_kindfollower.cpp
@@ -16,7 +16,7 @@
 /// Keeps what a follower tells as a set of names.
 struct FollowerFixture {
     explicit FollowerFixture(const FollowerNews &news = {})
-        : follower("things", {"127.0.0.1", store.port()}, pace, clock, counters, callbacks(), news, 1)
+        : follower("things", {"127.0.0.1", store.port()}, pace, clock, counters, callbacks(), news, gate, 1)
     {
         follower.start();
     }
@@ -70,6 +70,7 @@
     StandIns::ObjectStoreStandIn store;
     Base::SystemClock clock;
     StoreCallCounters counters;
+    Steering::OutageGate gate;
     KindFollower follower;
 };
 
