Answers that never end are given up within bounds on bytes, lines and memory

Cause: an upstream in trouble may send bytes without end. Interim answers and trailers were read for ever, as data that is always there never lets a wait meet its deadline; an answer's body was bounded by 64 MB each, on VMs of 160 MB. Change: at most 16 interim answers and 64 trailers; a body takes its memory from the budget that requests' bodies take it from, a quarter of it at most; one that finds no memory is 502 and says nothing about the upstream. One memory budget in base replaces the two copies in callers; large bodies go out without being copied to their head.

--- a/src/app/entrynode.cpp
+++ b/src/app/entrynode.cpp
@@ -76,8 +76,8 @@
     , failureLog_(clock, failureLinesPerSecond)
     , sampleLog_(clock, sampleLinesPerSecond)
     , passContext_{clock, roster_, channels_, flow_, {settings.bounds.coldFactor, settings.bounds.coldSlack}, settings.bounds.retries, metrics_, stopDeadline_,
-          sequence_, failureLog_, sampleLog_}
-    , sessionContext_{passContext_, bodies_, stopping_, refuseAfter_, active_, aheadThreads_}
+          sequence_, bodies_, failureLog_, sampleLog_}
+    , sessionContext_{passContext_, stopping_, refuseAfter_, active_, aheadThreads_}
     , board_(self_, options.peerSilenceMs)
     , news_(clock.monotonic())
     , link_(board_, news_, self_.ip, self_.peerPort, clock, seed)
--- a/src/app/entrynode.h
+++ b/src/app/entrynode.h
@@ -60,7 +60,8 @@
     Base::RcuPointer<Steering::Roster> roster_;
     Upstreams::ChannelPool channels_;
     Steering::RegionFlow flow_;
-    Callers::BodyMemory bodies_;
+    /// Of requests that were read and of answers to them.
+    Base::MemoryBudget bodies_;
     Base::LogBudget failureLog_;
     Base::LogBudget sampleLog_;
     Callers::PassContext passContext_;
--- a/src/libs/callers/bodybuffer.cpp
+++ b/src/libs/callers/bodybuffer.cpp
@@ -13,30 +13,7 @@
 
 } // namespace
 
-BufferBudget::BufferBudget(std::int64_t limit)
-    : limit_(limit)
-{}
-
-bool BufferBudget::tryTake(std::int64_t bytes)
-{
-    if (used_.fetch_add(bytes, std::memory_order_relaxed) + bytes <= limit_) {
-        return true;
-    }
-    used_.fetch_sub(bytes, std::memory_order_relaxed);
-    return false;
-}
-
-void BufferBudget::giveBack(std::int64_t bytes)
-{
-    used_.fetch_sub(bytes, std::memory_order_relaxed);
-}
-
-std::int64_t BufferBudget::used() const
-{
-    return used_.load(std::memory_order_relaxed);
-}
-
-BufferedBody::BufferedBody(CallerExchange &exchange, BufferBudget &budget, std::int64_t maxBytes)
+BufferedBody::BufferedBody(CallerExchange &exchange, Base::MemoryBudget &budget, std::int64_t maxBytes)
     : exchange_(exchange)
     , source_(exchange.body())
     , budget_(budget)
@@ -45,7 +22,7 @@
 
 BufferedBody::~BufferedBody()
 {
-    budget_.giveBack(static_cast<std::int64_t>(chunks_.size() * chunkBytes));
+    budget_.give(static_cast<std::int64_t>(chunks_.size() * chunkBytes));
 }
 
 bool BufferedBody::hasRoom() const
--- a/src/libs/callers/bodybuffer.h
+++ b/src/libs/callers/bodybuffer.h
@@ -2,36 +2,21 @@
 
 #include "callerexchange.h"
 
+#include <base/memorybudget.h>
 #include <upstreams/exchange.h>
 
-#include <atomic>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace Wasabistair::Callers {
 
-/// Bytes that all requests of this process may hold in memory together.
-class BufferBudget
-{
-public:
-    explicit BufferBudget(std::int64_t limit);
-
-    bool tryTake(std::int64_t bytes);
-    void giveBack(std::int64_t bytes);
-    [[nodiscard]] std::int64_t used() const;
-
-private:
-    const std::int64_t limit_;
-    std::atomic<std::int64_t> used_{0};
-};
-
 /// Body of a caller's request: as much as fits is read before a server's slot is occupied, so that a
 /// slow caller does not hold one; what does not fit is streamed through.
 class BufferedBody: public Upstreams::RequestBody
 {
 public:
-    BufferedBody(CallerExchange &exchange, BufferBudget &budget, std::int64_t maxBytes);
+    BufferedBody(CallerExchange &exchange, Base::MemoryBudget &budget, std::int64_t maxBytes);
     ~BufferedBody() override;
     BufferedBody(const BufferedBody &) = delete;
     BufferedBody &operator=(const BufferedBody &) = delete;
@@ -61,7 +46,7 @@
 
     CallerExchange &exchange_;
     Http::BodyReader &source_;
-    BufferBudget &budget_;
+    Base::MemoryBudget &budget_;
     const std::int64_t maxBytes_;
     // Each chunk has the same capacity, taken from the budget as a whole.
     std::vector<std::string> chunks_;
--- a/src/libs/callers/callerrequest.cpp
+++ b/src/libs/callers/callerrequest.cpp
@@ -37,7 +37,7 @@
     }
 }
 
-ReadEnd readBody(Http::ByteStream &stream, const Steering::CallerLimits &limits, const Base::Clock &clock, BodyMemoryLease &memory, CallerRequest &request)
+ReadEnd readBody(Http::ByteStream &stream, const Steering::CallerLimits &limits, const Base::Clock &clock, Base::MemoryLease &memory, CallerRequest &request)
 {
     const Http::BodyFrame frame = requestFraming(request.head);
     if (frame.length > limits.maxBodyBytes) {
@@ -91,47 +91,8 @@
     return "unknown";
 }
 
-BodyMemory::BodyMemory(std::int64_t limitBytes)
-    : limitBytes_(limitBytes)
-{}
-
-bool BodyMemory::tryTake(std::int64_t bytes)
-{
-    if (taken_.fetch_add(bytes, std::memory_order_relaxed) + bytes <= limitBytes_) {
-        return true;
-    }
-    give(bytes);
-    return false;
-}
-
-void BodyMemory::give(std::int64_t bytes)
-{
-    taken_.fetch_sub(bytes, std::memory_order_relaxed);
-}
-
-BodyMemoryLease::BodyMemoryLease(BodyMemory &memory)
-    : memory_(memory)
-{}
-
-BodyMemoryLease::~BodyMemoryLease()
-{
-    memory_.give(held_);
-}
-
-bool BodyMemoryLease::growTo(std::int64_t bytes)
-{
-    if (bytes <= held_) {
-        return true;
-    }
-    if (!memory_.tryTake(bytes - held_)) {
-        return false;
-    }
-    held_ = bytes;
-    return true;
-}
-
 ReadEnd readRequest(Http::ByteStream &stream, const Steering::CallerLimits &limits, Base::MonotonicMs idleUntil, const Base::Clock &clock,
-    BodyMemoryLease &memory, CallerRequest &request)
+    Base::MemoryLease &memory, CallerRequest &request)
 {
     const ReadEnd head = readHead(stream, limits, idleUntil, clock, request);
     if (head != ReadEnd::Whole) {
--- a/src/libs/callers/callersession.cpp
+++ b/src/libs/callers/callersession.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t answerTimeoutMs = 10'000;
 // How long a caller that was refused before its request was read may take to read the refusal.
 constexpr std::int64_t lingerMs = 1'000;
+// Bodies up to this size go out with their head; larger ones aren't copied for it.
+constexpr std::size_t joinedBodyBytes = 16 * 1024;
 constexpr double msPerSecond = 1000;
 constexpr int retryAfterDecimals = 3;
 
@@ -116,7 +118,7 @@
 {
     const Steering::CallerLimits present = limits();
     const Base::Clock &clock = context_.pass.clock;
-    BodyMemoryLease memory(context_.bodies);
+    Base::MemoryLease memory(context_.pass.memory);
     CallerRequest request;
     const Base::MonotonicMs idleUntil = clock.monotonic() + (first_ ? present.headerTimeoutMs : present.idleTimeoutMs);
     const ReadEnd end = readRequest(stream_, present, idleUntil, clock, memory, request);
@@ -196,8 +198,16 @@
     HTTPResponse head = result.end == PassEnd::Answered ? relayedHead(result.answer) : refusalHead(result);
     head.setKeepAlive(!close);
     const bool withBody = result.end == PassEnd::Answered && request.head.getMethod() != HTTPRequest::HTTP_HEAD;
-    const std::string text = Http::serialize(head) + (withBody ? result.answer.body : std::string());
-    return stream_.send(text, context_.pass.clock.monotonic() + answerTimeoutMs) == Http::IoState::Ok;
+    const std::string &body = result.answer.body;
+    const Base::MonotonicMs deadline = context_.pass.clock.monotonic() + answerTimeoutMs;
+    std::string text = Http::serialize(head);
+    if (withBody && body.size() <= joinedBodyBytes) {
+        text += body;
+    }
+    if (stream_.send(text, deadline) != Http::IoState::Ok) {
+        return false;
+    }
+    return !withBody || body.size() <= joinedBodyBytes || stream_.send(body, deadline) == Http::IoState::Ok;
 }
 
 void CallerSession::refuseUnread(ReadEnd end)
--- a/src/libs/callers/callersession.h
+++ b/src/libs/callers/callersession.h
@@ -9,7 +9,6 @@
 /// What all connections of a process share.
 struct SessionContext {
     PassContext &pass;
-    BodyMemory &bodies;
     /// Set while the process stops: connections are closed after their next answer.
     const std::atomic<bool> &stopping;
     /// Until then new requests are taken while the process stops; 0: no limit.
--- a/src/libs/callers/forwarder.h
+++ b/src/libs/callers/forwarder.h
@@ -23,7 +23,7 @@
 
 private:
     const ForwarderLimits limits_;
-    BufferBudget budget_;
+    Base::MemoryBudget budget_;
     StreamCounter streams_;
     TryCounters tries_;
     const ForwardingContext context_;
--- a/src/libs/callers/forwarding.h
+++ b/src/libs/callers/forwarding.h
@@ -52,7 +52,7 @@
     Upstreams::ConnectionPool &pool;
     const Base::Clock &clock;
     const ForwarderLimits &limits;
-    BufferBudget &budget;
+    Base::MemoryBudget &budget;
     StreamCounter &streams;
     TryCounters &tries;
 };
--- a/src/libs/callers/requestpass.cpp
+++ b/src/libs/callers/requestpass.cpp
@@ -82,6 +82,8 @@
         return result.reusedConnection && !result.answerBegun ? TryOutcome::StaleConnection : TryOutcome::Broken;
     case CallEnd::TimedOut:
         return TryOutcome::Silent;
+    case CallEnd::NoMemory:
+        return TryOutcome::Discarded;
     case CallEnd::CallerGone:
         return TryOutcome::Abandoned;
     }
@@ -181,7 +183,7 @@
 {
     const Base::MonotonicMs begin = context_.clock.monotonic();
     upstream.record->beginTry();
-    Upstreams::UpstreamCall call(context_.channels, context_.clock);
+    Upstreams::UpstreamCall call(context_.channels, context_.memory, context_.clock);
     result = call.run(upstream.entry, {request_.head, request_.body, request_.facts.requestId, route.idempotent}, caller_, deadline_);
     const Base::MonotonicMs now = context_.clock.monotonic();
     const TryOutcome outcome = outcomeOf(result);
@@ -249,7 +251,8 @@
     if (outcome == TryOutcome::Silent) {
         return atDeadline();
     }
-    const bool repeatable = route.idempotent || !mayHaveRun_;
+    // Another answer would find no memory either.
+    const bool repeatable = (route.idempotent || !mayHaveRun_) && outcome != TryOutcome::Discarded;
     if (repeatable && mayRepeat(route, service, arrived)) {
         return std::nullopt;
     }
--- a/src/libs/callers/requestpass.h
+++ b/src/libs/callers/requestpass.h
@@ -29,6 +29,8 @@
     const std::atomic<Base::MonotonicMs> &stopDeadline;
     /// Counts requests; spreads those of a split route and those without a key.
     std::atomic<std::uint64_t> &sequence;
+    /// For requests and answers that are held.
+    Base::MemoryBudget &memory;
     Base::LogBudget &failureLog;
     Base::LogBudget &sampleLog;
 };
--- a/src/libs/http/bodydecoder.cpp
+++ b/src/libs/http/bodydecoder.cpp
@@ -12,6 +12,8 @@
 // Longest line of a chunk's size with its extensions, or of a trailer, in bytes.
 constexpr std::size_t maxLineBytes = 4096;
 constexpr std::size_t maxSizeDigits = 15;
+// Trailers behind a chunked body; they are dropped, so more of them would only hold the connection.
+constexpr int maxTrailers = 64;
 
 /// The line at @p position without its end; nothing when it is not whole yet.
 std::optional<std::string> takeLine(const std::string &input, std::size_t &position)
@@ -105,8 +107,9 @@
         part_ = ChunkPart::Size;
         return line->empty();
     }
-    state_ = line->empty() ? BodyState::Complete : BodyState::More;
-    return true;
+    const bool tooMany = ++trailers_ > maxTrailers;
+    state_ = line->empty() ? BodyState::Complete : tooMany ? BodyState::Cut : BodyState::More;
+    return !tooMany;
 }
 
 bool BodyDecoder::readChunkSize(const std::string &line)
--- a/src/libs/http/bodydecoder.h
+++ b/src/libs/http/bodydecoder.h
@@ -34,6 +34,7 @@
     const Framing framing_;
     std::uint64_t left_ = 0;
     ChunkPart part_ = ChunkPart::Size;
+    int trailers_ = 0;
     BodyState state_ = BodyState::More;
 };
 
--- a/src/libs/steering/upstreamhealth.cpp
+++ b/src/libs/steering/upstreamhealth.cpp
@@ -61,6 +61,8 @@
         return "silent";
     case TryOutcome::WrongInstance:
         return "wrong-instance";
+    case TryOutcome::Discarded:
+        return "discarded";
     case TryOutcome::Abandoned:
         return "abandoned";
     }
@@ -82,7 +84,7 @@
 
 UpstreamHealth afterTry(UpstreamHealth health, TryOutcome outcome, std::int64_t nowMs)
 {
-    if (outcome == TryOutcome::Abandoned || outcome == TryOutcome::RefusedFull || outcome == TryOutcome::StaleConnection) {
+    if (outcome == TryOutcome::Abandoned || outcome == TryOutcome::Discarded || outcome == TryOutcome::RefusedFull || outcome == TryOutcome::StaleConnection) {
         return health;
     }
     health.silentShare = nextSilentShare(health.silentShare, outcome == TryOutcome::Silent, weightOfNewestSilence);
--- a/src/libs/steering/upstreamhealth.h
+++ b/src/libs/steering/upstreamhealth.h
@@ -28,6 +28,8 @@
     Silent,
     /// Another upstream answered at the address.
     WrongInstance,
+    /// It ran; this VM had no memory for the answer. Says nothing about the upstream.
+    Discarded,
     /// The caller left, or the try was not made; says nothing about the upstream.
     Abandoned,
 };
--- a/src/libs/upstreams/upstreamcall.cpp
+++ b/src/libs/upstreams/upstreamcall.cpp
@@ -23,8 +23,11 @@
 constexpr std::int64_t keepDenominator = 5;
 constexpr std::int64_t msPerSecond = 1'000;
 constexpr std::size_t maxHeadBytes = 64 << 10;
-// Answers are held whole so that an idempotent request can be tried again when one is cut.
-constexpr std::size_t maxAnswerBytes = 64 << 20;
+// Answers are held whole so that an idempotent request can be tried again when one is cut. One that goes on beyond this part of
+// the memory for all requests is none.
+constexpr std::int64_t memoryPartOfAnswer = 4;
+// Interim answers (1xx) before the final one; an upstream that sends more never comes to it.
+constexpr int maxInterimAnswers = 16;
 // Answers to other requests that are passed over before the connection is given up.
 constexpr int maxForeignAnswers = 2;
 
@@ -67,14 +70,17 @@
         return "broken";
     case CallEnd::TimedOut:
         return "timed-out";
+    case CallEnd::NoMemory:
+        return "no-memory";
     case CallEnd::CallerGone:
         return "caller-gone";
     }
     return "unknown";
 }
 
-UpstreamCall::UpstreamCall(ChannelPool &pool, const Base::Clock &clock)
+UpstreamCall::UpstreamCall(ChannelPool &pool, Base::MemoryBudget &memory, const Base::Clock &clock)
     : pool_(pool)
+    , memory_(memory)
     , clock_(clock)
 {}
 
@@ -143,7 +149,8 @@
 
 CallEnd UpstreamCall::readHead(Poco::Net::HTTPResponse &response)
 {
-    while (true) {
+    int interim = 0;
+    while (interim <= maxInterimAnswers) {
         auto head = Http::takeHead(stream_->input());
         if (!head) {
             if (stream_->input().size() > maxHeadBytes) {
@@ -161,18 +168,35 @@
         if (response.getStatus() >= Poco::Net::HTTPResponse::HTTP_OK) {
             return CallEnd::Answered;
         }
+        ++interim;
     }
+    return CallEnd::Broken;
 }
 
-CallEnd UpstreamCall::readBody(const Http::BodyFrame &frame, std::string &body)
+CallEnd UpstreamCall::holdBody(UpstreamAnswer &answer) const
+{
+    const auto bytes = static_cast<std::int64_t>(answer.body.size());
+    if (bytes > memory_.limit() / memoryPartOfAnswer) {
+        return CallEnd::Broken;
+    }
+    if (!answer.memory) {
+        answer.memory = std::make_shared<Base::MemoryLease>(memory_);
+    }
+    return answer.memory->growTo(bytes) ? CallEnd::Answered : CallEnd::NoMemory;
+}
+
+CallEnd UpstreamCall::readBody(const Http::BodyFrame &frame, UpstreamAnswer &answer)
 {
     Http::BodyDecoder decoder(frame);
     while (true) {
-        const Http::BodyState state = decoder.feed(stream_->input(), body);
+        const Http::BodyState state = decoder.feed(stream_->input(), answer.body);
+        if (const CallEnd held = holdBody(answer); held != CallEnd::Answered) {
+            return held;
+        }
         if (state == Http::BodyState::Complete) {
             return CallEnd::Answered;
         }
-        if (state == Http::BodyState::Cut || body.size() > maxAnswerBytes) {
+        if (state == Http::BodyState::Cut) {
             return CallEnd::Broken;
         }
         const Http::IoState io = stream_->exchange(unsent_, deadline_, caller_);
@@ -197,7 +221,7 @@
             return CallEnd::Broken;
         }
         answer.body.clear();
-        if (const CallEnd end = readBody(*frame, answer.body); end != CallEnd::Answered) {
+        if (const CallEnd end = readBody(*frame, answer); end != CallEnd::Answered) {
             return end;
         }
         answer.facts = Adapter::decodeAnswerFacts(response);
--- a/src/libs/upstreams/upstreamcall.h
+++ b/src/libs/upstreams/upstreamcall.h
@@ -2,6 +2,7 @@
 
 #include "channelpool.h"
 
+#include <base/memorybudget.h>
 #include <http/messagehead.h>
 #include <platform/messages.h>
 #include <steering/roster.h>
@@ -29,6 +30,8 @@
     /// Value of the length header when the answer has no body of its own (HEAD); empty otherwise.
     std::string declaredLength;
     Adapter::AnswerFacts facts;
+    /// Memory that the body takes from the process's budget, for as long as any copy of the answer lives.
+    std::shared_ptr<Base::MemoryLease> memory;
 
     bool operator==(const UpstreamAnswer &) const = default;
 };
@@ -43,6 +46,8 @@
     Broken,
     /// Sent; no whole answer until the deadline.
     TimedOut,
+    /// Sent; this VM has no memory left for the answer. Says nothing about the upstream.
+    NoMemory,
     /// The caller closed its connection.
     CallerGone,
 };
@@ -64,7 +69,7 @@
 class UpstreamCall
 {
 public:
-    UpstreamCall(ChannelPool &pool, const Base::Clock &clock);
+    UpstreamCall(ChannelPool &pool, Base::MemoryBudget &memory, const Base::Clock &clock);
 
     /// @p caller: its close ends the call. @p deadline bounds everything.
     [[nodiscard]] CallResult run(
@@ -75,11 +80,14 @@
     [[nodiscard]] std::string requestText(const Steering::UpstreamEntry &upstream, const ForwardedRequest &request) const;
     [[nodiscard]] CallEnd readAnswer(const ForwardedRequest &request, UpstreamAnswer &answer);
     [[nodiscard]] CallEnd readHead(Poco::Net::HTTPResponse &response);
-    [[nodiscard]] CallEnd readBody(const Http::BodyFrame &frame, std::string &body);
+    [[nodiscard]] CallEnd readBody(const Http::BodyFrame &frame, UpstreamAnswer &answer);
+    /// Takes memory for @p body; Answered when there is enough.
+    [[nodiscard]] CallEnd holdBody(UpstreamAnswer &answer) const;
     [[nodiscard]] CallEnd receive();
     void noteReuse(const Poco::Net::HTTPResponse &response, bool endsWithConnection);
 
     ChannelPool &pool_;
+    Base::MemoryBudget &memory_;
     const Base::Clock &clock_;
     std::unique_ptr<Http::ByteStream> stream_;
     std::string_view unsent_;
--- a/tests/auto/entry/tst_units.cpp
+++ b/tests/auto/entry/tst_units.cpp
@@ -112,13 +112,13 @@
     CHECK_FALSE(frameOf("Content-Length: -5\r\n"));
 }
 
-TEST_CASE("bodyMemory_limit_holdsForAllLeasesTogether")
+TEST_CASE("memoryBudget_limit_holdsForAllLeasesTogether")
 {
-    Callers::BodyMemory memory(100);
-    Callers::BodyMemoryLease one(memory);
+    Base::MemoryBudget memory(100);
+    Base::MemoryLease one(memory);
     CHECK(one.growTo(60));
     {
-        Callers::BodyMemoryLease two(memory);
+        Base::MemoryLease two(memory);
         CHECK_FALSE(two.growTo(50));
         CHECK(two.growTo(40));
     }
--- a/tests/standins/scriptedupstream.cpp
+++ b/tests/standins/scriptedupstream.cpp
@@ -140,6 +140,9 @@
         return false;
     }
     socket.sendBytes(answer.bytes.data(), static_cast<int>(answer.bytes.size()));
+    while (!answer.endlessBytes.empty() && !closing_) {
+        socket.sendBytes(answer.endlessBytes.data(), static_cast<int>(answer.endlessBytes.size()));
+    }
     if (!answer.lateBytes.empty()) {
         std::this_thread::sleep_for(std::chrono::milliseconds(lateAfterMs));
         socket.sendBytes(answer.lateBytes.data(), static_cast<int>(answer.lateBytes.size()));
--- a/tests/standins/scriptedupstream.h
+++ b/tests/standins/scriptedupstream.h
@@ -29,6 +29,8 @@
     int delayMs = 0;
     /// Sent behind the answer on the kept connection, after a pause.
     std::string lateBytes{};
+    /// Sent again and again behind the bytes, until the other side closes.
+    std::string endlessBytes{};
     bool closeAfter = false;
     /// Ends with a reset instead of an orderly close.
     bool resetAfter = false;
