A cheap list that is older than what a VM knows is not taken

Cause: found by reading the change: after a failed call a VM lists with a call that may return old data. Such a list could bring an upstream back that the VM knew to be leaving, or undo an evacuation.

--- a/tests/auto/adapter/tst_kindfollower.cpp
+++ b/tests/auto/adapter/tst_kindfollower.cpp
@@ -31,10 +31,12 @@
     {
         return {[this](const std::vector<StoredObject> &objects) {
                     const std::lock_guard lock(mutex);
+                    const bool knewItGone = !names.empty() && !names.contains("left");
                     names.clear();
                     for (const StoredObject &object : objects) {
                         names.insert(object.name);
                     }
+                    sawAgain = sawAgain || (knewItGone && names.contains("left"));
                 },
             [this](const std::vector<ObjectEvent> &events) {
                 const std::lock_guard lock(mutex);
@@ -67,6 +69,8 @@
 
     std::mutex mutex;
     std::set<std::string> names;
+    /// A list named "left" after it was known to be gone.
+    bool sawAgain = false;
     StandIns::ObjectStoreStandIn store;
     Base::SystemClock clock;
     StoreCallCounters counters;
@@ -187,3 +191,22 @@
     newest = changed;
     CHECK(becomesChecked({"a", "b"}, 5'000));
 }
+
+TEST_CASE_FIXTURE(GuidedFixture, "follower_cheapListAfterACutIsOlderThanWhatItKnows_isNotTaken")
+{
+    // An upstream that has left must not come back because the store's cheap answers are old.
+    store.put("things", "a", 1);
+    store.put("things", "left", 1);
+    CHECK(becomesChecked({"a", "left"}, 5'000));
+    store.freezeStaleAnswers();
+    mustRead = true;
+    store.remove("things", "left");
+    CHECK(becomesChecked({"a"}, 5'000));
+    mustRead = false;
+    store.setFaults({.busy = true});
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    store.setFaults({});
+    store.put("things", "b", 1);
+    CHECK(becomesChecked({"a", "b"}, 5'000));
+    CHECK_FALSE(sawAgain);
+}
