--- a/tests/auto/adapter/tst_platformfeed.cpp
+++ b/tests/auto/adapter/tst_platformfeed.cpp
@@ -4,7 +4,9 @@
 #include <standins/objectstorestandin.h>
 #include <standins/platformobjects.h>
 
+#include <algorithm>
 #include <chrono>
+#include <limits>
 #include <thread>
 
 using namespace Wasabistair;
@@ -27,6 +29,7 @@
             FeedCallbacks{[this](std::shared_ptr<const Steering::Roster> roster) {
                               const std::lock_guard lock(mutex);
                               ++published;
+                              smallestFleet = std::min(smallestFleet, roster->fleetSize);
                               present = std::move(roster);
                           },
                 [](const auto &) {}, [] {}},
@@ -66,6 +69,8 @@
     Nodes::NewsLedger news{clock.monotonic()};
     mutable std::mutex mutex;
     int published = 0;
+    /// Fewest VMs that any roster counted.
+    int smallestFleet = std::numeric_limits<int>::max();
     std::shared_ptr<const Steering::Roster> present;
     std::unique_ptr<PlatformFeed> feed;
 };
@@ -92,3 +97,25 @@
     const std::lock_guard lock(mutex);
     CHECK(published - before <= 5);
 }
+
+TEST_CASE_FIXTURE(FeedFixture, "feed_vmRestartsAndHearsOfTheFleetLast_neverCountsItselfForTheFleet")
+{
+    // Load pattern: all VMs of a fleet start again while upstreams are cold. Bounds on sums over all VMs are divided by the registered
+    // VMs; a VM that knew none of the others sent a cold upstream what was meant for twelve.
+    for (int i = 1; i <= 12; ++i) {
+        const std::string name = "vm-" + std::to_string(i);
+        store.put("wasabistair-vms", name, encodeVm({name, "north-a", "north", "10.0.0." + std::to_string(i), 80, 81, 1, 0.2, 100}));
+    }
+    store.put("servers", "u-1", StandIns::upstreamObject(80, "north-a", "ready"));
+    store.holdBackLists("wasabistair-vms");
+    feed->start();
+    for (int i = 0; i < 500 && store.listCalls("servers") == 0; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    // Time in which a roster could come that counts too few.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    store.releaseLists();
+    REQUIRE(becomes(1));
+    const std::lock_guard lock(mutex);
+    CHECK(smallestFleet == 12);
+}
--- a/tests/standins/objectstorestandin.cpp
+++ b/tests/standins/objectstorestandin.cpp
@@ -114,6 +114,19 @@
     changed_.notify_all();
 }
 
+void ObjectStoreStandIn::holdBackLists(const std::string &kind)
+{
+    const std::lock_guard lock(mutex_);
+    heldBackLists_ = kind;
+}
+
+void ObjectStoreStandIn::releaseLists()
+{
+    const std::lock_guard lock(mutex_);
+    heldBackLists_.clear();
+    changed_.notify_all();
+}
+
 void ObjectStoreStandIn::freezeStaleAnswers()
 {
     const std::lock_guard lock(mutex_);
@@ -205,8 +218,9 @@
 
 void ObjectStoreStandIn::list(const std::string &kind, const std::string &after, bool stale, HTTPServerResponse &response)
 {
-    const std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     ++listCalls_[kind];
+    changed_.wait(lock, [&] { return closing_ || heldBackLists_ != kind; });
     Json items = Json::array();
     bool more = false;
     const auto &objects = objectsOf(kind, stale);
--- a/tests/standins/objectstorestandin.h
+++ b/tests/standins/objectstorestandin.h
@@ -38,6 +38,9 @@
     /// Changes aren't told to watches until releaseNews() or forgetHistory().
     void holdBackNews();
     void releaseNews();
+    /// Lists of @p kind aren't answered until releaseLists().
+    void holdBackLists(const std::string &kind);
+    void releaseLists();
     /// Calls that allow stale answers see no later change than those made so far.
     void freezeStaleAnswers();
     /// Forgets all changes and cuts waiting watches. Only a watch behind the present revision is told that it missed some,
@@ -79,6 +82,8 @@
     Faults faults_;
     bool closing_ = false;
     bool heldBack_ = false;
+    /// Kind whose lists aren't answered; empty for none.
+    std::string heldBackLists_;
     std::uint64_t revision_ = 1;
     std::uint64_t forgottenUpTo_ = 0;
     std::uint64_t cuts_ = 0;
