--- a/src/app/entrynode.cpp
+++ b/src/app/entrynode.cpp
@@ -72,11 +72,11 @@
     , roster_(std::make_shared<const Steering::Roster>())
     , channels_(clock)
     , flow_(settings.bounds.maxRegionShift, shiftWindowMs)
-    , bodies_(settings.memoryMb * bytesPerMb * options.bodyMemoryPercent / percent)
+    , memory_(settings.memoryMb * bytesPerMb * options.bodyMemoryPercent / percent)
     , failureLog_(clock, failureLinesPerSecond)
     , sampleLog_(clock, sampleLinesPerSecond)
     , passContext_{clock, roster_, channels_, flow_, {settings.bounds.coldFactor, settings.bounds.coldSlack}, settings.bounds.retries, metrics_, stopDeadline_,
-          sequence_, bodies_, failureLog_, sampleLog_}
+          sequence_, memory_, failureLog_, sampleLog_}
     , sessionContext_{passContext_, stopping_, refuseAfter_, active_, aheadThreads_}
     , board_(self_, options.peerSilenceMs)
     , news_(clock.monotonic())
--- a/src/app/entrynode.h
+++ b/src/app/entrynode.h
@@ -61,7 +61,7 @@
     Upstreams::ChannelPool channels_;
     Steering::RegionFlow flow_;
     /// Of requests that were read and of answers to them.
-    Base::MemoryBudget bodies_;
+    Base::MemoryBudget memory_;
     Base::LogBudget failureLog_;
     Base::LogBudget sampleLog_;
     Callers::PassContext passContext_;
--- a/src/app/entryoptions.cpp
+++ b/src/app/entryoptions.cpp
@@ -23,7 +23,7 @@
         integer(
             "peer-silence-ms", defaults.peerSilenceMs, 1'000, 60'000, "Silence after which another VM counts as dead, in ms; signs of life come every second."),
         integer("max-connections", defaults.maxConnections, 1, 20'000, "Callers' connections served at once; each takes a thread."),
-        integer("body-memory-percent", defaults.bodyMemoryPercent, 1, 90, "Part of the VM's memory for bodies of requests, in percent."),
+        integer("body-memory-percent", defaults.bodyMemoryPercent, 1, 90, "Part of the VM's memory for bodies of requests and answers, in percent."),
         {"log-level", SettingType::Text, "info", "debug, info, warning or error.", 0, 0},
         {"print-settings", SettingType::Flag, "false", "Print all settings and end.", 0, 0}};
 }
--- a/src/libs/callers/readahead.cpp
+++ b/src/libs/callers/readahead.cpp
@@ -35,8 +35,7 @@
     if (!reads || hasBody(head) || !head.getKeepAlive() || !roster.manifest) {
         return false;
     }
-    const std::string &uri = head.getURI();
-    const Steering::RouteRule *route = Steering::findRoute(*roster.manifest, requestHost(head), uri.substr(0, uri.find('?')));
+    const Steering::RouteRule *route = Steering::findRoute(*roster.manifest, requestHost(head), requestPath(head));
     return route != nullptr && route->idempotent;
 }
 
--- a/src/libs/callers/requestcheck.cpp
+++ b/src/libs/callers/requestcheck.cpp
@@ -91,4 +91,10 @@
     return host.substr(0, host.find(':'));
 }
 
+std::string requestPath(const HTTPRequest &request)
+{
+    const std::string &target = request.getURI();
+    return target.substr(0, target.find('?'));
+}
+
 } // namespace Wasabistair::Callers
--- a/src/libs/callers/requestcheck.h
+++ b/src/libs/callers/requestcheck.h
@@ -21,4 +21,7 @@
 /// Host of a request without port, in lower case.
 [[nodiscard]] std::string requestHost(const Poco::Net::HTTPRequest &request);
 
+/// Path of a request's target, without its query.
+[[nodiscard]] std::string requestPath(const Poco::Net::HTTPRequest &request);
+
 } // namespace Wasabistair::Callers
--- a/src/libs/callers/requestpass.cpp
+++ b/src/libs/callers/requestpass.cpp
@@ -100,11 +100,6 @@
     return !hasArrived(outcome) || outcome == TryOutcome::RefusedFull || outcome == TryOutcome::RefusedWithRoom || outcome == TryOutcome::WrongInstance;
 }
 
-std::string pathOf(const std::string &target)
-{
-    return target.substr(0, target.find('?'));
-}
-
 } // namespace
 
 RequestPass::RequestPass(PassContext &context, const CallerRequest &request, const Http::ByteStream &caller)
@@ -121,7 +116,7 @@
     const Base::MonotonicMs stop = context_.stopDeadline.load(std::memory_order_relaxed);
     if (!roster_->manifest) {
         result = giveUp(PassEnd::NotReady);
-    } else if (const auto *route = Steering::findRoute(*roster_->manifest, requestHost(request_.head), pathOf(request_.head.getURI()))) {
+    } else if (const auto *route = Steering::findRoute(*roster_->manifest, requestHost(request_.head), requestPath(request_.head))) {
         const std::int64_t budget = request_.facts.budgetMs.value_or(defaultBudgetMs);
         deadline_ = request_.arrivedAt + (route->timeoutMs > 0 ? std::min(budget, route->timeoutMs) : budget);
         deadline_ = stop > 0 ? std::min(deadline_, stop) : deadline_;
--- a/src/libs/http/bytestream.cpp
+++ b/src/libs/http/bytestream.cpp
@@ -135,12 +135,6 @@
     onReadable_ = std::move(hook);
 }
 
-IoState ByteStream::waitUntilReadable(Base::MonotonicMs deadline) const
-{
-    short ready = 0;
-    return waitFor(POLLIN, deadline, nullptr, ready);
-}
-
 std::string &ByteStream::input()
 {
     return input_;
--- a/src/libs/http/bytestream.h
+++ b/src/libs/http/bytestream.h
@@ -46,8 +46,6 @@
     void setOnReadable(OnReadable hook);
     /// Appends to input() what has arrived, without waiting.
     IoState readAvailable();
-    /// Waits until bytes or the peer's close are there; TimedOut after @p deadline.
-    IoState waitUntilReadable(Base::MonotonicMs deadline) const;
 
     /// Bytes received and not yet consumed.
     std::string &input();
--- a/src/libs/nodes/newsledger.h
+++ b/src/libs/nodes/newsledger.h
@@ -11,9 +11,9 @@
 
 /// Which VMs read the store's latest state, and how the others notice that what they read is behind it.
 ///
-/// Every VM watches the store with calls that may return old data and cost a tenth. A few VMs of each availability zone, its
-/// readers, make calls that return the latest. Signs of life carry the revision of the newest change that a reader has seen; a
-/// VM that hasn't seen it within lagToleranceMs asks for the latest state once. A VM that hears no reader reads for itself.
+/// Every VM watches the store with calls that may return old data and cost a tenth. The readers of each availability zone make
+/// calls that return the latest. Signs of life carry the revisions of the newest changes that their sender has read; a VM that
+/// hasn't read them within lagToleranceMs asks for the latest state once. A VM that hears no reader reads for itself.
 namespace Wasabistair::Nodes {
 
 /// Kinds of changes that have a bound on the time until they are in force.
@@ -64,7 +64,7 @@
     /// Revision of the newest change that is known to have happened.
     [[nodiscard]] std::uint64_t newest(NewsKind kind) const;
 
-    /// Appoints this VM a reader, or takes that back.
+    /// Makes this VM a reader of its zone, or takes that back.
     void setAppointed(bool appointed);
     [[nodiscard]] bool isAppointed() const;
     /// Whether this VM must ask for the store's latest state: it is appointed, or hears no reader.
