A waiting watch is no try of a store that is away; lapsed entries are timed from the last failed call

A follower whose watch was not cut, since it paused between two, came back in the outage and was given the one try. Lapsed entries were kept 1.5 s from the first success, which came up to 1.2 s late: 2.8 s with polls, the test allows 2.6, the rule 3.

--- a/src/libs/steering/outagegate.cpp
+++ b/src/libs/steering/outagegate.cpp
@@ -17,9 +17,16 @@
     return true;
 }
 
-void OutageGate::failed(std::int64_t nowMs, double point)
+bool OutageGate::mayWait() const
 {
     const std::lock_guard lock(mutex_);
+    return failures_ < failuresOfOutage;
+}
+
+void OutageGate::failed(std::int64_t beganMs, std::int64_t nowMs, double point)
+{
+    const std::lock_guard lock(mutex_);
+    lastAwayMs_ = std::max(lastAwayMs_, beganMs);
     failures_ = std::min(failures_ + 1, failuresOfOutage);
     if (failures_ < failuresOfOutage) {
         return;
@@ -41,4 +48,10 @@
     nextTryAtMs_ = 0;
 }
 
+std::int64_t OutageGate::lapsedGoneAtMs() const
+{
+    const std::lock_guard lock(mutex_);
+    return lastAwayMs_ + returnGraceMs;
+}
+
 } // namespace Wasabistair::Steering
--- a/tests/auto/entry/entryfixture.cpp
+++ b/tests/auto/entry/entryfixture.cpp
@@ -27,6 +27,13 @@
 
 constexpr int answerSeconds = 10;
 
+/// Where the logs of VMs that tests start are kept; empty: nowhere.
+std::string keptLog()
+{
+    const char *logs = std::getenv("WASABISTAIR_TEST_LOGS");
+    return logs ? std::string(logs) + "/entry-" + std::to_string(StandIns::freePort()) + ".log" : "";
+}
+
 /// Sends @p text and reads until the connection ends.
 std::string ask(std::uint16_t port, const std::string &text, bool thenEnd = false)
 {
@@ -106,7 +113,7 @@
         {"vm-1", "a", {{"a", "north"}, {"b", "south"}}, callerPort, readyPort, lookupPort, StandIns::freePort(), StandIns::freePort(), store.port()});
     file.close();
     ::setenv("WASABISTAIR_SETTINGS", path.c_str(), 1);
-    vm = std::make_unique<StandIns::ChildProcess>("wasabistaird", std::vector<std::string>{"entry"}, logFile);
+    vm = std::make_unique<StandIns::ChildProcess>("wasabistaird", std::vector<std::string>{"entry"}, logFile.empty() ? keptLog() : logFile);
 }
 
 void EntryFixture::registerUpstreams(const std::string &firstState)
--- a/tests/auto/entry/entryfixture.h
+++ b/tests/auto/entry/entryfixture.h
@@ -21,7 +21,7 @@
 
 /// One entry VM as a process of its own, with a store and two upstreams of one service.
 struct EntryFixture {
-    /// The VM's standard output goes to @p logFile, nowhere if empty.
+    /// The VM's standard output goes to @p logFile, if empty to a file among the kept logs.
     explicit EntryFixture(std::string logFile = "");
     ~EntryFixture();
 
