--- /dev/null
+++ b/tests/auto/entry/tst_stopping.cpp
@@ -0,0 +1,160 @@
+#include "entryfixture.h"
+
+#include <doctest/doctest.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+using namespace Wasabistair;
+using namespace Wasabistair::Tests;
+using StandIns::ScriptedUpstream;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int workMs = 120;
+constexpr int callers = 24;
+// The VM takes callers for 4.5 s after SIGTERM; what is sent in the last of it may cross the end of the process.
+constexpr int sentSafelyMs = 3'900;
+
+/// One caller's request and what became of it.
+struct Sent {
+    /// Relative to the signal, in ms.
+    std::int64_t atMs = 0;
+    int status = 0;
+    bool whole = false;
+};
+
+/// A caller that keeps its connection, and opens another when the VM closes it.
+class KeepingCaller
+{
+public:
+    explicit KeepingCaller(std::uint16_t port)
+        : port_(port)
+    {}
+
+    /// Status of a whole answer; 0 when the connection ended without one.
+    int exchange(const std::string &text, std::size_t firstPart)
+    {
+        try {
+            if (!socket_ || !isOpen()) {
+                socket_ = std::make_unique<Poco::Net::StreamSocket>(Poco::Net::SocketAddress("127.0.0.1", port_));
+                socket_->setReceiveTimeout(Poco::Timespan(10, 0));
+            }
+            socket_->sendBytes(text.data(), static_cast<int>(firstPart));
+            if (firstPart < text.size()) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(30));
+                socket_->sendBytes(text.data() + firstPart, static_cast<int>(text.size() - firstPart));
+            }
+            return readStatus();
+        } catch (const Poco::Exception &) {
+            // The VM is gone or has closed this connection; the caller judges by the time.
+            socket_.reset();
+            return 0;
+        }
+    }
+
+private:
+    /// False when the VM has closed the connection while it was idle.
+    bool isOpen()
+    {
+        return !socket_->poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    }
+
+    int readStatus()
+    {
+        std::string received;
+        std::array<char, 4096> buffer;
+        while (true) {
+            const std::size_t end = received.find("\r\n\r\n");
+            const std::size_t field = received.find("Content-Length: ");
+            if (end != std::string::npos && field < end && received.size() >= end + 4 + std::stoul(received.substr(field + 16))) {
+                if (received.find("Connection: close") < end || received.find("Connection: Close") < end) {
+                    socket_.reset();
+                }
+                return std::stoi(received.substr(9, 3));
+            }
+            const int got = socket_->receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            if (got <= 0) {
+                socket_.reset();
+                return 0;
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(got));
+        }
+    }
+
+    std::uint16_t port_;
+    std::unique_ptr<Poco::Net::StreamSocket> socket_;
+};
+
+struct StoppingFixture: EntryFixture {
+    StoppingFixture()
+    {
+        script = [](int, const Request &request) { return Answer{.bytes = ScriptedUpstream::wholeAnswer(request, 200, "done"), .delayMs = workMs}; };
+    }
+
+    [[nodiscard]] std::int64_t sinceSignalMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - signalAt).count();
+    }
+
+    /// Sends one request after the other on a kept connection until the VM is gone.
+    std::vector<Sent> call(int caller)
+    {
+        std::vector<Sent> result;
+        KeepingCaller connection(callerPort);
+        for (int i = 0; sinceSignalMs() < sentSafelyMs; ++i) {
+            const bool order = (caller + i) % 3 == 0;
+            const std::string id = "caller-" + std::to_string(caller) + "-" + std::to_string(i);
+            std::string text = std::string(order ? "POST /once/x" : "GET /safe/x") + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id + "\r\n";
+            text += order ? "Content-Length: 5\r\n\r\norder" : "\r\n";
+            // Some arrive in two packets, so that a signal finds them half read.
+            const std::size_t firstPart = i % 4 == 0 ? text.size() / 2 : text.size();
+            const std::int64_t at = sinceSignalMs();
+            const int status = connection.exchange(text, firstPart);
+            result.push_back({at, status, status != 0});
+            // Callers whose pauses differ reach the VM at all moments of its stop.
+            std::this_thread::sleep_for(std::chrono::milliseconds((caller * 7 + i * 13) % 60));
+        }
+        return result;
+    }
+
+    Clock::time_point signalAt = Clock::now() + std::chrono::milliseconds(600);
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(StoppingFixture, "vm_isStoppedUnderLoad_everyRequestSentWhileItTakesCallersHasAnAnswer")
+{
+    std::vector<std::vector<Sent>> sent(callers);
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers; ++i) {
+        threads.emplace_back([this, i, &sent] { sent[static_cast<std::size_t>(i)] = call(i); });
+    }
+    std::this_thread::sleep_until(signalAt);
+    vm->signal(SIGTERM);
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    std::size_t afterSignal = 0;
+    for (const std::vector<Sent> &requests : sent) {
+        for (const Sent &request : requests) {
+            CAPTURE(request.atMs);
+            // Late in its grace the VM refuses what it has not begun, and says so.
+            CHECK((request.status == 200 || request.status == 503));
+            afterSignal += request.atMs >= 0 ? 1 : 0;
+        }
+    }
+    CHECK(afterSignal > callers);
+    CHECK(vm->wait() == 0);
+}
