Callers' bodies keep to the memory budget while they grow, and to their request's deadline

A body that came a byte at a time held its thread and connection for as long as the caller liked (20 s in the test, deadline 0.9 s): only pauses of 4 s were bounded. Change: room is taken from the budget before a body grows; freed buffers of 256 kB and more go back at once; a body that is not whole at its request's deadline is refused with 408, as nothing was sent. Ruled out: lines, fields, trailers and chunk sizes without end (peak 18 MB, cut off).

--- a/src/app/entryprogram.cpp
+++ b/src/app/entryprogram.cpp
@@ -3,6 +3,7 @@
 #include "entrynode.h"
 
 #include <base/attempt.h>
+#include <base/heap.h>
 
 #include <Poco/Exception.h>
 
@@ -100,6 +101,7 @@
     std::signal(SIGTERM, onStopSignal);
     std::signal(SIGINT, onStopSignal);
     std::signal(SIGHUP, onReloadSignal);
+    Base::returnLargeBuffers();
     const Base::Settings flags(entryOptionSpecs(), argc, argv);
     if (flags.helpWanted()) {
         std::cout << flags.help("wasabistaird entry");
--- a/src/libs/callers/callerrequest.cpp
+++ b/src/libs/callers/callerrequest.cpp
@@ -7,6 +7,8 @@
 
 #include <Poco/String.h>
 
+#include <algorithm>
+
 namespace Wasabistair::Callers {
 
 namespace {
@@ -14,6 +16,20 @@
 // Longest pause while a body arrives; total time is bounded by the request's own deadline.
 constexpr std::int64_t bodyPauseMs = 4'000;
 
+/// Makes room in @p body for @p more bytes if @p memory allows: it holds the old and the new buffer while one is copied into the other.
+bool makeRoom(std::string &body, std::size_t more, Base::MemoryLease &memory)
+{
+    if (body.capacity() - body.size() >= more) {
+        return true;
+    }
+    const std::size_t wanted = body.size() + std::max(more, body.size() / 2);
+    if (!memory.growTo(static_cast<std::int64_t>(wanted + body.capacity()))) {
+        return false;
+    }
+    body.reserve(wanted);
+    return true;
+}
+
 ReadEnd readHead(Http::ByteStream &stream, const Steering::CallerLimits &limits, Base::MonotonicMs idleUntil, const Base::Clock &clock, CallerRequest &request)
 {
     Base::MonotonicMs deadline = idleUntil;
@@ -46,8 +62,12 @@
     if (Poco::icompare(request.head.get("Expect", ""), "100-continue") == 0) {
         stream.send("HTTP/1.1 100 Continue\r\n\r\n", clock.monotonic() + bodyPauseMs);
     }
+    const Base::MonotonicMs until = request.arrivedAt + request.facts.budgetMs.value_or(defaultBudgetMs);
     Http::BodyDecoder decoder(frame);
     while (true) {
+        if (frame.framing != Http::Framing::None && !makeRoom(request.body, stream.input().size(), memory)) {
+            return ReadEnd::NoMemory;
+        }
         const Http::BodyState state = decoder.feed(stream.input(), request.body);
         if (state == Http::BodyState::Complete) {
             return ReadEnd::Whole;
@@ -58,10 +78,11 @@
         if (static_cast<std::int64_t>(request.body.size()) > limits.maxBodyBytes) {
             return ReadEnd::BodyTooLarge;
         }
-        if (!memory.growTo(static_cast<std::int64_t>(request.body.size()))) {
-            return ReadEnd::NoMemory;
+        const Base::MonotonicMs now = clock.monotonic();
+        if (now >= until) {
+            return ReadEnd::TimedOut;
         }
-        const Http::IoState io = stream.receive(clock.monotonic() + bodyPauseMs);
+        const Http::IoState io = stream.receive(std::min(now + bodyPauseMs, until));
         if (io != Http::IoState::Ok) {
             return io == Http::IoState::TimedOut ? ReadEnd::TimedOut : ReadEnd::Closed;
         }
--- a/src/libs/callers/callerrequest.h
+++ b/src/libs/callers/callerrequest.h
@@ -23,12 +23,15 @@
     Base::MonotonicMs arrivedAt = 0;
 };
 
+/// Deadline of requests that state none and whose route has none, in ms.
+constexpr std::int64_t defaultBudgetMs = 30'000;
+
 /// How reading a request ended.
 enum class ReadEnd {
     Whole,
     /// The caller closed, or never sent anything.
     Closed,
-    /// The caller took longer than its limits allow.
+    /// The caller took longer than its limits allow, or than the request's own deadline.
     TimedOut,
     Malformed,
     HeaderTooLarge,
--- a/src/libs/callers/requestpass.cpp
+++ b/src/libs/callers/requestpass.cpp
@@ -21,8 +21,6 @@
 using Steering::TryOutcome;
 using Upstreams::CallEnd;
 
-// Deadline of requests that state none and whose route has none.
-constexpr std::int64_t defaultBudgetMs = 30'000;
 // Upstreams looked at while none can be reached.
 constexpr int maxChoices = 8;
 constexpr double msPerSecond = 1000;
