The line of a request that could not be read names it

Change: id, status, bytes received, time taken and its own deadline. Test: failed before (no line with the id), passes now.

--- a/src/libs/callers/callersession.cpp
+++ b/src/libs/callers/callersession.cpp
@@ -127,7 +127,7 @@
     }
     const ActiveRequest active(context_.active, context_.pass.metrics.requestsInFlight());
     if (end != ReadEnd::Whole) {
-        refuseUnread(end);
+        refuseUnread(end, request);
         return false;
     }
     if (isPastRefusal()) {
@@ -210,10 +210,13 @@
     return !withBody || body.size() <= joinedBodyBytes || stream_.send(body, deadline) == Http::IoState::Ok;
 }
 
-void CallerSession::refuseUnread(ReadEnd end)
+void CallerSession::refuseUnread(ReadEnd end, const CallerRequest &request)
 {
     if (context_.pass.failureLog.tryTake()) {
-        Base::log(Base::LogLevel::Info, "request-unread", {{"cause", std::string(toString(end))}});
+        const Base::MonotonicMs now = context_.pass.clock.monotonic();
+        Base::log(Base::LogLevel::Info, "request-unread",
+            {{"request", request.facts.requestId}, {"cause", std::string(toString(end))}, {"status", statusOf(end)}, {"bodyBytes", request.body.size()},
+                {"tookMs", now - request.arrivedAt}, {"budgetMs", request.facts.budgetMs.value_or(0)}});
     }
     constexpr std::int64_t comeBackMs = 500;
     HTTPResponse head = refusalHead({PassEnd::NotReady, {}, statusOf(end), end == ReadEnd::NoMemory ? comeBackMs : 0});
--- a/src/libs/callers/callersession.h
+++ b/src/libs/callers/callersession.h
@@ -38,7 +38,7 @@
     bool answer(const CallerRequest &request, const PassResult &result, std::size_t followers = 0);
     [[nodiscard]] bool isPastRefusal() const;
     bool sendAnswer(const CallerRequest &request, const PassResult &result, bool close);
-    void refuseUnread(ReadEnd end);
+    void refuseUnread(ReadEnd end, const CallerRequest &request);
     [[nodiscard]] Steering::CallerLimits limits() const;
 
     SessionContext &context_;
--- a/tests/auto/entry/tst_logging.cpp
+++ b/tests/auto/entry/tst_logging.cpp
@@ -165,3 +165,12 @@
     CHECK(trail.find("u-2:broken:") != std::string::npos);
     CHECK(trail.find(',') != std::string::npos);
 }
+
+TEST_CASE_FIXTURE(LogFileFixture, "request_bodyIsNotWholeAtItsDeadline_itsLineNamesItAndTheCause")
+{
+    static_cast<void>(entry.send("POST", "/once/x", "", "X-Deadline-Ms: 300\r\nContent-Length: 100\r\n"));
+    const std::string id = "request=request-";
+    CHECK(EntryFixture::eventually([&] { return linesOf("request-unread", "", " cause=timed-out ").first == 1; }));
+    CHECK(linesOf("request-unread", "", id).first == 1);
+    CHECK(linesOf("request-unread", "status", id).second == 408);
+}
