--- a/tests/auto/entry/entryfixture.cpp
+++ b/tests/auto/entry/entryfixture.cpp
@@ -164,6 +164,17 @@
     return false;
 }
 
+long EntryFixture::peakMemoryKb() const
+{
+    std::ifstream file("/proc/" + std::to_string(vm->pid()) + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stol(line.substr(6));
+        }
+    }
+    return -1;
+}
+
 std::size_t EntryFixture::runs() const
 {
     return first.received().size() + second.received().size();
--- a/tests/auto/entry/entryfixture.h
+++ b/tests/auto/entry/entryfixture.h
@@ -19,6 +19,9 @@
     bool whole = false;
 };
 
+/// Memory in kB of a VM whose settings name none.
+constexpr long vmMemoryKb = 256 * 1024;
+
 /// One entry VM as a process of its own, with a store and two upstreams of one service.
 struct EntryFixture {
     /// The VM's standard output goes to @p logFile, if empty to a file among the kept logs.
@@ -40,6 +43,8 @@
     /// Waits until @p condition holds; false after five seconds.
     static bool eventually(const std::function<bool()> &condition);
     [[nodiscard]] std::size_t runs() const;
+    /// Resident memory of the VM in kB, at its highest; -1 when it can't be read.
+    [[nodiscard]] long peakMemoryKb() const;
 
     /// What the upstreams do; replaced by tests. Called with the index of the upstream.
     std::function<Answer(int, const Request &)> script;
--- a/tests/auto/entry/tst_endless.cpp
+++ b/tests/auto/entry/tst_endless.cpp
@@ -3,7 +3,6 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
-#include <fstream>
 #include <functional>
 #include <string>
 #include <thread>
@@ -68,23 +67,8 @@
         CHECK((reached ? answer.status == 502 || answer.status == 504 : answer.status == 503));
         return reached;
     }
-
-    /// Resident memory of the VM in kB, at its highest.
-    [[nodiscard]] long peakMemoryKb() const
-    {
-        std::ifstream file("/proc/" + std::to_string(vm->pid()) + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with("VmHWM:")) {
-                return std::stol(line.substr(6));
-            }
-        }
-        return -1;
-    }
 };
 
-// What a VM has whose settings name no memory.
-constexpr long memoryKb = 256 * 1024;
-
 } // namespace
 
 TEST_CASE_FIXTURE(EndlessFixture, "answer_neverEnds_isGivenUpTruthfullyAndOthersAreServed")
@@ -121,5 +105,5 @@
     CHECK(vm->isRunning());
     const long peak = peakMemoryKb();
     CHECK(peak > 0);
-    CHECK(peak < memoryKb);
+    CHECK(peak < vmMemoryKb);
 }
--- a/tests/auto/entry/tst_endlesscallers.cpp
+++ b/tests/auto/entry/tst_endlesscallers.cpp
@@ -9,7 +9,6 @@
 
 #include <array>
 #include <chrono>
-#include <fstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,8 +22,6 @@
 // A caller that sends no more than this is not cut off for its size alone: the largest body that is taken.
 constexpr std::size_t mostBytes = std::size_t{80} << 20;
 constexpr int mostSeconds = 20;
-// What a VM has whose settings name no memory.
-constexpr long memoryKb = 256 * 1024;
 
 /// Bytes of a caller that never come to an end.
 struct Stream {
@@ -86,17 +83,6 @@
         ending.took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin);
         return ending;
     }
-
-    [[nodiscard]] long peakMemoryKb() const
-    {
-        std::ifstream file("/proc/" + std::to_string(vm->pid()) + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with("VmHWM:")) {
-                return std::stol(line.substr(6));
-            }
-        }
-        return -1;
-    }
 };
 
 } // namespace
@@ -135,7 +121,7 @@
     CHECK(vm->isRunning());
     const long peak = peakMemoryKb();
     CHECK(peak > 0);
-    CHECK(peak < memoryKb);
+    CHECK(peak < vmMemoryKb);
 }
 
 TEST_CASE_FIXTURE(EndlessCallerFixture, "request_bodyComesAByteAtATime_isToldNotRunSoonAfterItsDeadline")
