--- a/tests/auto/adapter/tst_objectwatcher.cpp
+++ b/tests/auto/adapter/tst_objectwatcher.cpp
@@ -15,7 +15,7 @@
 
 /// Keeps the names of the objects that a watcher reports.
 struct WatcherFixture {
-    explicit WatcherFixture(const StalenessCallbacks &staleness = {})
+    explicit WatcherFixture(const StalenessCallbacks &staleness = {}, WatchPacing pacing = longWatches)
         : watcher("things", {"127.0.0.1", store.port()}, pacing, clock, counters, callbacks(), staleness, circuitBreaker, 1)
     {
         watcher.start();
@@ -65,7 +65,7 @@
         return false;
     }
 
-    static constexpr WatchPacing pacing{30'000, 0};
+    static constexpr WatchPacing longWatches{30'000, 0};
 
     std::mutex mutex;
     std::set<std::string> names;
@@ -80,9 +80,10 @@
 
 /// A watcher whose staleness callbacks return what the test sets.
 struct StalenessFixture: WatcherFixture {
-    StalenessFixture()
+    explicit StalenessFixture(WatchPacing pacing = longWatches)
         : WatcherFixture({[this] { return mustReadLatest.load(); }, [this] { return latestRevision.load(); },
-            [this](Revision revision) { lastRead = revision; }, [this](Revision asOf) { latestRevision = asOf; }})
+                             [this](Revision revision) { lastRead = revision; }, [this](Revision asOf) { latestRevision = asOf; }},
+            pacing)
     {}
 
     /// Like waitFor(), but calls wakeIfStale() every 50 ms meanwhile.
@@ -102,6 +103,13 @@
     std::atomic<Revision> lastRead{0};
 };
 
+/// Its watches end without an event after 100 ms.
+struct ShortWatchFixture: StalenessFixture {
+    ShortWatchFixture()
+        : StalenessFixture({100, 0})
+    {}
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(WatcherFixture, "watcher_objectsChange_updatesItsCopy")
@@ -210,3 +218,30 @@
     CHECK(waitForWhilePolling({"a", "b"}, 5'000));
     CHECK_FALSE(reappeared);
 }
+
+TEST_CASE_FIXTURE(StalenessFixture, "watcher_readersWatchMissesAReportedChange_isUpToDateLongBeforeTheWatchEnds")
+{
+    // Guards against a VM that waits for the end of its watch, 13.5 s on the platform, although all its peers have read a newer manifest.
+    mustReadLatest = true;
+    store.put("things", "a", 1);
+    CHECK(waitForWhilePolling({"a"}, 5'000));
+    CHECK(watcher.isReadingLatest());
+    store.holdBackWatchEvents();
+    store.put("things", "b", 1);
+    CHECK_FALSE(waitForWhilePolling({"a", "b"}, 300));
+    latestRevision = store.revision();
+    CHECK(waitForWhilePolling({"a", "b"}, 2'000));
+}
+
+TEST_CASE_FIXTURE(ShortWatchFixture, "watcher_watchPassesAChangeThatPeersHaveRead_isUpToDateSoon")
+{
+    // Guards against a copy that counts as complete up to an answer's revision although the event of a change before it never came.
+    mustReadLatest = true;
+    store.put("things", "a", 1);
+    CHECK(waitForWhilePolling({"a"}, 5'000));
+    store.skipWatchEvents();
+    store.put("things", "b", 1);
+    CHECK_FALSE(waitForWhilePolling({"a", "b"}, 500));
+    latestRevision = store.revision();
+    CHECK(waitForWhilePolling({"a", "b"}, 2'000));
+}
--- a/tests/auto/adapter/tst_platformfeed.cpp
+++ b/tests/auto/adapter/tst_platformfeed.cpp
@@ -30,6 +30,9 @@
                               const std::lock_guard lock(mutex);
                               ++published;
                               smallestFleetSize = std::min(smallestFleetSize, snapshot->fleetSize);
+                              if (snapshot->manifest && firstVersion == 0) {
+                                  firstVersion = snapshot->manifest->version;
+                              }
                               current = std::move(snapshot);
                           },
                 [](const auto &) {}, [] {}},
@@ -71,6 +74,8 @@
     int published = 0;
     /// Smallest fleet size of any routing snapshot.
     int smallestFleetSize = std::numeric_limits<int>::max();
+    /// Version of the first manifest in force; 0 before it.
+    std::uint64_t firstVersion = 0;
     std::shared_ptr<const Steering::RoutingSnapshot> current;
     std::unique_ptr<PlatformFeed> feed;
 };
@@ -120,3 +125,18 @@
     const std::lock_guard lock(mutex);
     CHECK(smallestFleetSize == 12);
 }
+
+TEST_CASE_FIXTURE(FeedFixture, "feed_vmStartsWhileStaleAnswersAreOld_firstManifestInForceIsTheLatest")
+{
+    // Guards against a restarted VM that answers callers by an older manifest than its previous process did.
+    store.put("servers", "u-1", StandIns::upstreamObject(80, "north-a", "ready"));
+    store.freezeStaleReads();
+    Json routes = Json::object();
+    routes["r"] = StandIns::routeObject("/r/", "safe", 1'000, 2);
+    routes["added"] = StandIns::routeObject("/added/", "safe", 1'000, 2);
+    store.put("config", "main", StandIns::manifestObject(2, routes));
+    feed->start();
+    REQUIRE(waitForUpstreams(1));
+    const std::lock_guard lock(mutex);
+    CHECK(firstVersion == 2);
+}
--- a/tests/auto/nodes/tst_revisiontracker.cpp
+++ b/tests/auto/nodes/tst_revisiontracker.cpp
@@ -45,7 +45,7 @@
         NoOtherZone,
     };
 
-    ZoneSimulation(unsigned seed, Scenario scenario)
+    ZoneSimulation(unsigned seed, Scenario scenario, int vmCount = largeZone)
         : random_(seed)
         , scenario_(scenario)
         , names_(zoneOf(vmCount))
@@ -73,7 +73,7 @@
     }
 
 private:
-    static constexpr int vmCount = 12;
+    static constexpr int largeZone = 12;
     static constexpr std::int64_t durationMs = 60'000;
     static constexpr std::int64_t stepMs = 50;
     static constexpr std::int64_t faultFreeStartMs = 6'000;
@@ -268,3 +268,14 @@
         REQUIRE(longestLagMs <= 3'000);
     }
 }
+
+TEST_CASE("smallZone_readersDieOrAreCutOff_readsEveryChangeWithinItsDeploymentsBound")
+{
+    // The smallest zone that relies on a reader belongs to a deployment whose changes must be in force within 2.5 s.
+    for (unsigned seed = 1; seed <= 400; ++seed) {
+        CAPTURE(seed);
+        const std::int64_t longestLagMs = ZoneSimulation(seed, ZoneSimulation::Scenario::OtherZones, 3).run();
+        REQUIRE(longestLagMs >= 0);
+        REQUIRE(longestLagMs <= 2'500);
+    }
+}
--- a/tests/standins/fakeobjectstore.cpp
+++ b/tests/standins/fakeobjectstore.cpp
@@ -77,7 +77,7 @@
     } else {
         objects_[kind][name] = {revision_, spec};
     }
-    history_.push_back({revision_, kind, name, removed, spec});
+    history_.push_back({revision_, kind, name, removed, spec, watchEventsSkipped_});
     changed_.notify_all();
 }
 
@@ -114,6 +114,12 @@
     changed_.notify_all();
 }
 
+void FakeObjectStore::skipWatchEvents()
+{
+    const std::lock_guard lock(mutex_);
+    watchEventsSkipped_ = true;
+}
+
 void FakeObjectStore::holdBackLists(const std::string &kind)
 {
     const std::lock_guard lock(mutex_);
@@ -237,7 +243,7 @@
 void FakeObjectStore::watch(const std::string &kind, std::uint64_t since, int waitMs, bool stale, HTTPServerRequest &request, HTTPServerResponse &response)
 {
     std::unique_lock lock(mutex_);
-    const auto isVisible = [&](const Change &change) { return !watchEventsHeld_ && !(stale && staleObjects_ && change.revision > staleRevision_); };
+    const auto isVisible = [&](const Change &change) { return !watchEventsHeld_ && !change.skipped && !(stale && staleObjects_ && change.revision > staleRevision_); };
     const std::uint64_t watchResets = watchResets_;
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitMs);
     while (!stopping_ && std::chrono::steady_clock::now() < until) {
--- a/tests/standins/fakeobjectstore.h
+++ b/tests/standins/fakeobjectstore.h
@@ -40,6 +40,8 @@
     /// Withholds changes from watches until releaseWatchEvents() or compactHistory().
     void holdBackWatchEvents();
     void releaseWatchEvents();
+    /// From now on, changes appear in lists only; the answers of watches pass their revisions without the events.
+    void skipWatchEvents();
     /// Delays answers to lists of @p kind until releaseLists().
     void holdBackLists(const std::string &kind);
     void releaseLists();
@@ -66,6 +68,8 @@
         std::string name;
         bool removed = false;
         nlohmann::json spec;
+        /// Never returned by watches.
+        bool skipped = false;
     };
 
     void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
@@ -85,6 +89,7 @@
     Faults faults_;
     bool stopping_ = false;
     bool watchEventsHeld_ = false;
+    bool watchEventsSkipped_ = false;
     /// Kind whose lists are not answered; empty for none.
     std::string heldListKind_;
     std::uint64_t revision_ = 1;
