--- a/src/app/entrynode.cpp
+++ b/src/app/entrynode.cpp
@@ -152,6 +152,15 @@
         const auto call = static_cast<Adapter::StoreCall>(i);
         text << "wasabistair_store_calls_total{call=\"" << Adapter::toString(call) << "\"} " << storeCalls_.calls(call) << "\n";
     }
+    const std::uint64_t version
+        = snapshot_.read([](const Steering::RoutingSnapshot &snapshot) { return snapshot.manifest ? snapshot.manifest->version : std::uint64_t{0}; });
+    text << "wasabistair_manifest_version " << version << "\n";
+    const Nodes::ChangeRevisions read = storeRevisions_.ownRevisions();
+    for (std::size_t i = 0; i < Nodes::changeKindCount; ++i) {
+        const auto kind = static_cast<Nodes::StoreChangeKind>(i);
+        text << "wasabistair_store_revision_read{kind=\"" << Nodes::toString(kind) << "\"} " << read.at(i) << "\n";
+        text << "wasabistair_store_revision_known{kind=\"" << Nodes::toString(kind) << "\"} " << storeRevisions_.latestRevision(kind) << "\n";
+    }
     return {HTTPResponse::HTTP_OK, "text/plain; version=0.0.4", text.str()};
 }
 
--- a/src/libs/nodes/revisiontracker.cpp
+++ b/src/libs/nodes/revisiontracker.cpp
@@ -15,6 +15,12 @@
 
 } // namespace
 
+std::string_view toString(StoreChangeKind kind)
+{
+    static constexpr std::array<std::string_view, changeKindCount> names = {"configuration", "upstreams", "evacuations"};
+    return names.at(indexOf(kind));
+}
+
 bool isElectedReader(const std::string &zone, const std::string &vm, const std::vector<std::string> &alive)
 {
     const std::uint64_t seed = Steering::mixedHash(Steering::hashOf(zone));
--- a/src/libs/nodes/revisiontracker.h
+++ b/src/libs/nodes/revisiontracker.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Elects the VMs that read the store's latest state, and detects that the data of the others is stale.
@@ -26,6 +27,9 @@
 
 constexpr std::size_t changeKindCount = 3;
 
+/// Name of the kind in metrics.
+[[nodiscard]] std::string_view toString(StoreChangeKind kind);
+
 /// Store revision of the latest change of each kind.
 using ChangeRevisions = std::array<std::uint64_t, changeKindCount>;
 
--- a/tests/standins/fakeobjectstore.cpp
+++ b/tests/standins/fakeobjectstore.cpp
@@ -243,7 +243,8 @@
 void FakeObjectStore::watch(const std::string &kind, std::uint64_t since, int waitMs, bool stale, HTTPServerRequest &request, HTTPServerResponse &response)
 {
     std::unique_lock lock(mutex_);
-    const auto isVisible = [&](const Change &change) { return !watchEventsHeld_ && !change.skipped && !(stale && staleObjects_ && change.revision > staleRevision_); };
+    const auto isVisible
+        = [&](const Change &change) { return !watchEventsHeld_ && !change.skipped && !(stale && staleObjects_ && change.revision > staleRevision_); };
     const std::uint64_t watchResets = watchResets_;
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitMs);
     while (!stopping_ && std::chrono::steady_clock::now() < until) {
