Requests follow the limit that an upstream states in its answers, summed over all VMs

Callers noticed nothing yet; the upstream in need was driven on. Cause, class: an answer's statement was not read, and there was no module for a limit that holds over all VMs and is learned from answers. Change: the adapter decodes the header; steering/announcedlimit holds the limit of one incarnation of an upstream and divides it: the VMs of the lowest ranks send at a common rate, all others only probe, one after the other, so that the first requests of many VMs don't add up. Every attempt passes the check in selectUpstream, so retries and waiting requests do, too. Requests that fit nowhere are rejected at once with the time of the next admission. A statement ends by an authentic answer to an attempt that started after it; a value that can't be read changes nothing.

--- a/src/libs/callers/requestdispatcher.cpp
+++ b/src/libs/callers/requestdispatcher.cpp
@@ -89,6 +89,11 @@
     return AttemptOutcome::Broken;
 }
 
+std::string limitText(const std::optional<double> &requestsPerSecond)
+{
+    return requestsPerSecond ? std::to_string(*requestsPerSecond) : "none";
+}
+
 bool isDelivered(AttemptOutcome outcome)
 {
     return outcome != AttemptOutcome::NoConnection && outcome != AttemptOutcome::ConnectTimeout;
@@ -125,6 +130,7 @@
         result = failWith(DispatchOutcome::NoRoute);
     }
     logRequest(result);
+    context_.metrics.countHeldBack(heldBack_);
     context_.metrics.countRequest(result.end, static_cast<double>(context_.clock.monotonic() - request_.arrivedAt) / msPerSecond);
     return result;
 }
@@ -158,8 +164,10 @@
     const Steering::Selection selection
         = Steering::selectUpstream(*snapshot_, service, {&route, keyHash_, triedUpstreams_, now}, context_.selectorLimits, context_.regionShiftLimiter);
     lastLoad_ = selection.loadPerSlot;
+    heldBack_ += selection.heldBack;
+    admissionInMs_ = selection.admissionInMs;
     if (selection.end != Steering::SelectionOutcome::Selected) {
-        if (selection.end == Steering::SelectionOutcome::AllOverloaded && waitForFreeCapacity(route)) {
+        if (selection.end == Steering::SelectionOutcome::AllOverloaded && waitForFreeCapacity(route, selection.admissionInMs)) {
             return std::nullopt;
         }
         if (caller_.isClosedByPeer()) {
@@ -186,6 +194,9 @@
     if (const auto &load = result.answer.metadata.load) {
         service.load.record(*load, now);
     }
+    if (result.end == CallOutcome::Answered) {
+        recordLimit(upstream, result.answer, begin, now);
+    }
     // A timeout says nothing about the upstream if the caller's deadline is shorter than requests usually take.
     const bool conclusive = outcome != AttemptOutcome::Timeout || now - begin >= objectivesUntilTimeoutCounts * route.objectiveMs;
     if (conclusive && (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::Timeout)) {
@@ -202,6 +213,23 @@
     return outcome;
 }
 
+void RequestDispatcher::recordLimit(
+    const Steering::UpstreamSnapshot &upstream, const Upstreams::UpstreamAnswer &answer, Base::MonotonicMs begin, Base::MonotonicMs now)
+{
+    const Adapter::AnswerMetadata &metadata = answer.metadata;
+    if (metadata.wrongInstance) {
+        return;
+    }
+    const auto change = upstream.record->announcedLimit().record(metadata.limit, metadata.isSigned || metadata.notExecuted, begin, now);
+    if (change.before == change.after) {
+        return;
+    }
+    context_.metrics.countLimitChange();
+    Base::log(Base::LogLevel::Info, "upstream-limit",
+        {{"upstream", upstream.entry.id}, {"service", upstream.entry.service}, {"before", limitText(change.before)}, {"after", limitText(change.after)},
+            {"vms", snapshot_->fleetSize}, {"request", request_.metadata.requestId}});
+}
+
 void RequestDispatcher::recordAttempt(const Steering::UpstreamSnapshot &upstream, AttemptOutcome outcome, std::int64_t tookMs)
 {
     context_.metrics.countAttempt(outcome);
@@ -274,11 +302,12 @@
     return allowed;
 }
 
-bool RequestDispatcher::waitForFreeCapacity(const Steering::RouteRule &route)
+bool RequestDispatcher::waitForFreeCapacity(const Steering::RouteRule &route, std::int64_t admissionInMs)
 {
     using Steering::capacityPollIntervalMs;
     const std::int64_t limit = Steering::maxCapacityWaitMs(route.objectiveMs);
-    if (waitedMs_ + capacityPollIntervalMs > limit || context_.clock.monotonic() + capacityPollIntervalMs >= deadline_ || caller_.isClosedByPeer()) {
+    if (waitedMs_ + std::max(capacityPollIntervalMs, admissionInMs) > limit || context_.clock.monotonic() + capacityPollIntervalMs >= deadline_
+        || caller_.isClosedByPeer()) {
         return false;
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(capacityPollIntervalMs));
@@ -309,7 +338,7 @@
     case DispatchOutcome::UpstreamsRejected:
     case DispatchOutcome::DeadlineBeforeSend:
         result.status = HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
-        result.retryAfterMs = Steering::retryAfterMs(Steering::RejectionReason::Overloaded, evenlySpreadPoint(sequenceNumber_));
+        result.retryAfterMs = Steering::retryAfterMs(Steering::RejectionReason::Overloaded, evenlySpreadPoint(sequenceNumber_), admissionInMs_);
         break;
     default:
         result.status = HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
@@ -331,7 +360,8 @@
             {"status", result.end == DispatchOutcome::Answered ? result.answer.status : result.status}, {"route", routeName_}, {"service", service_},
             {"manifest", snapshot_->manifest ? snapshot_->manifest->version : 0}, {"upstream", lastUpstream_}, {"outcome", std::string(lastOutcome_)},
             {"tries", deliveredAttempts_}, {"choices", selections_}, {"trail", attemptTrail_}, {"loadPercent", static_cast<int>(100 * lastLoad_)},
-            {"waitMs", waitedMs_}, {"tookMs", now - request_.arrivedAt}, {"leftMs", deadline_ - now}, {"retryAfterMs", result.retryAfterMs}});
+            {"waitMs", waitedMs_}, {"heldBack", heldBack_}, {"tookMs", now - request_.arrivedAt}, {"leftMs", deadline_ - now},
+            {"retryAfterMs", result.retryAfterMs}});
 }
 
 } // namespace Wasabistair::Callers
--- a/src/libs/callers/requestmetrics.cpp
+++ b/src/libs/callers/requestmetrics.cpp
@@ -64,6 +64,8 @@
     , connectionsRefused_(counter(registry, "wasabistair_caller_connections_refused_total", "Connections of callers closed because no thread was free."))
     , readAhead_(counter(
           registry, "wasabistair_requests_read_ahead_total", "Pipelined requests started while an earlier request of their connection was being served."))
+    , heldBack_(counter(registry, "wasabistair_requests_held_back_total", "Times that a limit stated by an upstream kept a request from it."))
+    , limitChanges_(counter(registry, "wasabistair_upstream_limit_changes_total", "Limits stated by upstreams: set, changed or ended."))
 {
     auto &requests = BuildCounter().Name("wasabistair_requests_total").Help("Requests of callers by how they ended.").Register(registry);
     for (std::size_t i = 0; i < requestEndCount; ++i) {
@@ -108,6 +110,16 @@
     readAhead_.Increment();
 }
 
+void RequestMetrics::countHeldBack(int count)
+{
+    heldBack_.Increment(count);
+}
+
+void RequestMetrics::countLimitChange()
+{
+    limitChanges_.Increment();
+}
+
 void RequestMetrics::countConnectionRefused()
 {
     connectionsRefused_.Increment();
--- a/src/libs/callers/requestmetrics.h
+++ b/src/libs/callers/requestmetrics.h
@@ -55,6 +55,8 @@
     prometheus::Gauge &requestsInFlight();
     void countConnectionRefused();
     void countReadAhead();
+    void countHeldBack(int count);
+    void countLimitChange();
 
 private:
     std::map<DispatchOutcome, prometheus::Counter *> requests_;
@@ -66,6 +68,8 @@
     prometheus::Gauge &inFlight_;
     prometheus::Counter &connectionsRefused_;
     prometheus::Counter &readAhead_;
+    prometheus::Counter &heldBack_;
+    prometheus::Counter &limitChanges_;
 };
 
 } // namespace Wasabistair::Callers
--- a/src/libs/steering/rejection.cpp
+++ b/src/libs/steering/rejection.cpp
@@ -22,11 +22,12 @@
     return objectiveMs > 0 ? std::min(maxWaitMs, objectiveMs / objectiveWaitDivisor) : maxWaitMs;
 }
 
-std::int64_t retryAfterMs(RejectionReason reason, double jitter)
+std::int64_t retryAfterMs(RejectionReason reason, double jitter, std::int64_t admissionInMs)
 {
     const bool overloaded = reason == RejectionReason::Overloaded;
     const auto spread = static_cast<double>(overloaded ? overloadedRetrySpreadMs : noUpstreamRetrySpreadMs);
-    return (overloaded ? overloadedRetryMinMs : noUpstreamRetryMinMs) + static_cast<std::int64_t>(jitter * spread);
+    const std::int64_t wait = (overloaded ? overloadedRetryMinMs : noUpstreamRetryMinMs) + static_cast<std::int64_t>(jitter * spread);
+    return std::min(maxRetryAfterMs, std::max(wait, admissionInMs));
 }
 
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamrecord.cpp
+++ b/src/libs/steering/upstreamrecord.cpp
@@ -92,4 +92,9 @@
     return probationGate_;
 }
 
+AnnouncedLimit &UpstreamRecord::announcedLimit()
+{
+    return announcedLimit_;
+}
+
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamrecord.h
+++ b/src/libs/steering/upstreamrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "announcedlimit.h"
 #include "ratelimiter.h"
 #include "upstreamhealth.h"
 
@@ -50,6 +51,7 @@
     [[nodiscard]] bool isColdAt(std::int64_t nowMs) const;
     RateLimiter &coldStartLimiter();
     RateLimiter &probationLimiter();
+    AnnouncedLimit &announcedLimit();
 
 private:
     void recordLoad(AttemptOutcome outcome, const std::optional<ReportedLoad> &load, std::int64_t nowMs);
@@ -62,6 +64,7 @@
     std::atomic<std::int64_t> suspendedUntilMs_{0};
     RateLimiter coldGate_;
     RateLimiter probationGate_;
+    AnnouncedLimit announcedLimit_;
     mutable std::mutex mutex_;
     UpstreamHealth health_;
 };
--- a/src/libs/steering/upstreamselector.cpp
+++ b/src/libs/steering/upstreamselector.cpp
@@ -1,6 +1,7 @@
 #include "upstreamselector.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace Wasabistair::Steering {
 
@@ -85,6 +86,38 @@
         || upstream.record->probationLimiter().tryAcquire(query.nowMs, probationIntervalMs);
 }
 
+LimitShare ownLimitShare(const RoutingSnapshot &snapshot, const UpstreamSnapshot &upstream, double requestsPerSecond)
+{
+    return limitShare(requestsPerSecond, snapshot.fleetSize, rendezvousRank(snapshot.vms, upstream.idHash));
+}
+
+bool passAnnouncedLimit(const RoutingSnapshot &snapshot, const UpstreamSnapshot &upstream, std::int64_t nowMs)
+{
+    AnnouncedLimit &limit = upstream.record->announcedLimit();
+    const auto rate = limit.requestsPerSecond();
+    return !rate || limit.tryAcquire(ownLimitShare(snapshot, upstream, *rate), nowMs);
+}
+
+/// See Selection::admissionInMs.
+std::int64_t timeUntilAdmission(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const std::vector<UpstreamView> &views, std::int64_t nowMs)
+{
+    std::optional<std::int64_t> earliest;
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        if (views[i].excluded || views[i].healthState == HealthState::Ejected) {
+            continue;
+        }
+        const UpstreamSnapshot &upstream = service.upstreams[i];
+        const AnnouncedLimit &limit = upstream.record->announcedLimit();
+        const auto rate = limit.requestsPerSecond();
+        if (!rate) {
+            return 0;
+        }
+        const std::int64_t wait = limit.timeUntilAdmission(ownLimitShare(snapshot, upstream, *rate), nowMs);
+        earliest = std::min(wait, earliest.value_or(wait));
+    }
+    return earliest.value_or(0);
+}
+
 double loadLimit(const RouteRule &route, const ServiceRecord &record)
 {
     const int levelsBelowTop = std::max(0, route.priority - record.topPriority.load(std::memory_order_relaxed));
@@ -130,23 +163,29 @@
     choice.hardLimit = loadLimit(*query.route, *service.record);
     const std::vector<std::size_t> order = rankUpstreams(views, choice);
     if (order.empty()) {
-        return {SelectionOutcome::NoUpstream, nullptr, 0};
+        return {};
     }
     const std::size_t preferredRegion = service.upstreams[order.front()].regionIndex;
+    int heldBack = 0;
     const auto mayUse = [&](std::size_t index) {
         const UpstreamSnapshot &upstream = service.upstreams[index];
         const bool changesRegion = upstream.regionIndex != preferredRegion;
-        return (!changesRegion || regionShiftLimiter.allowsShiftTo(upstream.regionIndex, query.nowMs))
-            && passRateLimiters(snapshot, service, upstream, query, bounds);
+        if ((changesRegion && !regionShiftLimiter.allowsShiftTo(upstream.regionIndex, query.nowMs))
+            || !passRateLimiters(snapshot, service, upstream, query, bounds)) {
+            return false;
+        }
+        const bool passes = passAnnouncedLimit(snapshot, upstream, query.nowMs);
+        heldBack += passes ? 0 : 1;
+        return passes;
     };
     const auto loadOf = [&](std::size_t index) { return estimatedLoad(service, service.upstreams[index], query.nowMs); };
     const auto chosen = chooseUpstream(views, order, choice, loadOf, mayUse);
     if (!chosen) {
-        return {SelectionOutcome::AllOverloaded, nullptr, leastLoadPerSlot(views)};
+        return {SelectionOutcome::AllOverloaded, nullptr, leastLoadPerSlot(views), heldBack, timeUntilAdmission(snapshot, service, views, query.nowMs)};
     }
     const UpstreamSnapshot &upstream = service.upstreams[*chosen];
     regionShiftLimiter.count(upstream.regionIndex, query.nowMs);
-    return {SelectionOutcome::Selected, &upstream, views[*chosen].load / views[*chosen].slots};
+    return {SelectionOutcome::Selected, &upstream, views[*chosen].load / views[*chosen].slots, heldBack};
 }
 
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamselector.h
+++ b/src/libs/steering/upstreamselector.h
@@ -37,6 +37,10 @@
     const UpstreamSnapshot *upstream = nullptr;
     /// Estimated load per slot of the upstream, or of the least loaded one when all are overloaded.
     double loadPerSlot = 0;
+    /// How often the limit that an upstream states kept this request from it.
+    int heldBack = 0;
+    /// Time in ms until the first upstream's stated limit admits a request, if all upstreams that take requests have one; else 0.
+    std::int64_t admissionInMs = 0;
 
     bool operator==(const Selection &) const = default;
 };
--- a/tests/auto/adapter/tst_messages.cpp
+++ b/tests/auto/adapter/tst_messages.cpp
@@ -64,3 +64,23 @@
     CHECK_FALSE(isReadinessCheck("/readyx"));
     CHECK(encodeLookupAnswer({{"10.0.0.1", 80}}, 1'500) == R"({"addresses":["10.0.0.1:80"],"ttl-s":1.5})");
 }
+
+TEST_CASE("answerMetadata_statesALimit_isReadOrUnreadable")
+{
+    const auto limitOf = [](const std::vector<std::string> &values) {
+        Poco::Net::HTTPResponse response;
+        for (const std::string &value : values) {
+            response.add("Server-Limit", value);
+        }
+        return decodeAnswerMetadata(response).limit;
+    };
+    CHECK((limitOf({}) == Steering::LimitStatement{}));
+    CHECK((limitOf({"5.9"}) == Steering::LimitStatement{5.9, false}));
+    CHECK((limitOf({"0"}) == Steering::LimitStatement{0.0, false}));
+    CHECK((limitOf({"7", "3"}) == Steering::LimitStatement{3.0, false}));
+    for (const char *malformed : {"", "-1", "nan", "inf", "1e3", "2 a second", "1,5", "0x10"}) {
+        CAPTURE(malformed);
+        CHECK((limitOf({malformed}) == Steering::LimitStatement{std::nullopt, true}));
+        CHECK((limitOf({"3", malformed}) == Steering::LimitStatement{std::nullopt, true}));
+    }
+}
--- a/tests/auto/entry/tst_upstreamlimit.cpp
+++ b/tests/auto/entry/tst_upstreamlimit.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <standins/platformobjects.h>
+
 #include <algorithm>
 #include <chrono>
 #include <mutex>
@@ -24,10 +26,16 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now().time_since_epoch()).count();
 }
 
-/// Both upstreams answer at once with the header lines of statement(); arrivals are recorded.
+/// Longest time until the VM has read a changed registration.
+constexpr std::chrono::milliseconds registryDelay{1'500};
+
+/// Both upstreams answer at once with the header lines of statement(); arrivals are recorded. They are in one region, since the
+/// traffic that may move to another region at once is limited.
 struct LimitFixture: EntryFixture {
     LimitFixture()
     {
+        store.put("servers", "u-2", StandIns::upstreamObject(second.port(), "a", "ready"));
+        std::this_thread::sleep_for(registryDelay);
         script = [this](int index, const Request &request) {
             const std::string lines = statement(index);
             const std::lock_guard lock(mutex);
