An answer without the request's id belongs to no request

Reported by operators of similar systems: a rejection that an upstream wrote once more on a kept connection was taken for the answer to the next request, which was told 'not run' or sent to a second upstream although it ran. Could happen here for a rejection without an id; answers with another id were skipped already. Change: such an answer counts as broken, so a request that may not be repeated ends as 'outcome unknown' and its connection is closed.

--- a/src/libs/upstreams/upstreamcall.cpp
+++ b/src/libs/upstreams/upstreamcall.cpp
@@ -228,8 +228,9 @@
         }
         answer.metadata = Adapter::decodeAnswerMetadata(response);
         const bool endsWithConnection = frame->framing == Http::Framing::UntilClose;
-        if (answer.metadata.requestId != request.requestId && !answer.metadata.requestId.empty()) {
-            if (endsWithConnection) {
+        if (answer.metadata.requestId != request.requestId) {
+            // Upstreams repeat the request's id, so an answer without one can't be attributed to any request.
+            if (endsWithConnection || answer.metadata.requestId.empty()) {
                 return CallOutcome::Broken;
             }
             continue;
--- a/tests/auto/entry/tst_duplicateanswers.cpp
+++ b/tests/auto/entry/tst_duplicateanswers.cpp
@@ -147,3 +147,17 @@
     CHECK(successes > 0);
     CHECK(vm->isRunning());
 }
+
+TEST_CASE_FIXTURE(DuplicateAnswerFixture, "duplicateAnswer_isAnEarlierRejectionWithoutId_requestRunsOnceAndIsNeverToldAsNotRun")
+{
+    // Guards against a caller that is told "not run", or a second upstream that runs the request, because of a rejection that an upstream
+    // repeats on a reused connection without the id that every answer to a request carries.
+    script = [this](int, const Request &request) { return Answer{"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" + ownAnswer(request)}; };
+    for (int i = 1; i <= rounds / 4; ++i) {
+        const std::size_t before = runs();
+        const CallerAnswer answer = send("POST", "/once/x", "order");
+        CHECK(runs() <= before + 1);
+        // After a few such answers this VM ejects both upstreams and sends nothing.
+        CHECK((answer.status == 503) == (runs() == before));
+    }
+}
