Test: an answer's head that ends at any byte is no success for the caller

Reported by operators of similar systems: an upstream that stops in the middle of its answer's head and closes gave callers an empty success. It can't happen here: the head is taken only with its empty line.

--- a/tests/auto/entry/tst_answers.cpp
+++ b/tests/auto/entry/tst_answers.cpp
@@ -182,3 +182,21 @@
     }
     CHECK(eventually([this] { return first.abandoned() + second.abandoned() == 1; }));
 }
+
+TEST_CASE_FIXTURE(EntryFixture, "answerHead_endsAtAnyByte_isNeverASuccessForTheCaller")
+{
+    const auto cut = std::make_shared<std::atomic<std::size_t>>(0);
+    script = [cut](int, const Request &request) {
+        const std::string whole = ScriptedUpstream::completeAnswer(request, 200, "body");
+        return Answer{.bytes = whole.substr(0, *cut), .closeAfter = true};
+    };
+    // The shortest head has a request id of one digit.
+    const std::size_t headBytes = ScriptedUpstream::completeAnswer({"POST /once/x HTTP/1.1\r\nX-Request-Id: request-1\r\n", ""}, 200, "").size();
+    for (*cut = 0; *cut < headBytes; ++*cut) {
+        CAPTURE(cut->load());
+        const std::size_t before = runs();
+        const int status = send("POST", "/once/x", "order").status;
+        // After a few such answers this VM ejects both upstreams and sends nothing.
+        CHECK(status == (runs() > before ? 502 : 503));
+    }
+}
