A stopping VM rejects late requests that may outlive it

Reported by operators of similar systems: in a planned stop, requests that came late in the grace period were taken and broken off at its end. Could happen here where callers wait for longer than 45% of the grace period: requests were taken until 55% of it, whatever their deadline, and got 504 at the exit. Change: from 3 s after the start of the stop, a request is taken only if its deadline, the route's timeout included, is before the exit; others are rejected as not run, and another VM takes them at once. Evidence: vm_isStopped_requestThatMayNotEndInTime* failed before (504 instead of 503) and passes.

--- a/src/app/entrynode.cpp
+++ b/src/app/entrynode.cpp
@@ -33,6 +33,9 @@
 constexpr std::int64_t maxLookupAgeFactor = 3;
 // Percentage of the stop's grace period after which new requests are rejected; the rest is left to active requests.
 constexpr std::int64_t rejectAfterPercent = 55;
+// Time from the start of a stop in which every request is taken: callers still choose this VM, and the platform's contract expects
+// those that take too long to be broken off. Later ones must be able to end before the process exits.
+constexpr std::int64_t takeAllMs = 3'000;
 // The process exits this long before the grace period ends: on an overloaded processor its last steps take hundreds of ms.
 constexpr std::int64_t exitMarginMs = 600;
 constexpr std::int64_t stopPollMs = 20;
@@ -77,7 +80,7 @@
     , sampleLog_(clock, maxSampleLinesPerSecond)
     , dispatchContext_{clock, snapshot_, idleConnections_, regionShiftLimiter_, {settings.bounds.coldFactor, settings.bounds.coldSlack},
           settings.bounds.retries, metrics_, stopDeadline_, requestSequence_, bodyMemory_, failureLog_, sampleLog_}
-    , sessionContext_{dispatchContext_, stopping_, rejectAfter_, activeRequests_, pipelineThreads_}
+    , sessionContext_{dispatchContext_, stopping_, rejectAfter_, rejectLongAfter_, activeRequests_, pipelineThreads_}
     , peers_(self_, options.peerSilenceMs)
     , storeRevisions_(clock.monotonic())
     , heartbeats_(peers_, storeRevisions_, self_.ip, self_.peerPort, clock, seed)
@@ -229,8 +232,9 @@
     stopping_ = true;
     peers_.setAcceptsCallers(false);
     heartbeats_.announce(peers);
-    rejectAfter_ = begin + grace * rejectAfterPercent / percent;
     stopDeadline_ = begin + grace - exitMarginMs;
+    rejectLongAfter_ = begin + takeAllMs;
+    rejectAfter_ = begin + grace * rejectAfterPercent / percent;
     const Base::MonotonicMs lookupsExpireAt = begin + std::min(maxLookupAgeFactor * options_.lookupAgeMs, grace - exitMarginMs);
     while (clock_.monotonic() < stopDeadline_ && (activeRequests_ > 0 || clock_.monotonic() < lookupsExpireAt)) {
         std::this_thread::sleep_for(std::chrono::milliseconds(stopPollMs));
--- a/src/app/entrynode.h
+++ b/src/app/entrynode.h
@@ -51,6 +51,7 @@
     const Steering::EntryVm self_;
     std::atomic<Base::MonotonicMs> stopDeadline_{0};
     std::atomic<Base::MonotonicMs> rejectAfter_{0};
+    std::atomic<Base::MonotonicMs> rejectLongAfter_{0};
     std::atomic<bool> stopping_{false};
     std::atomic<int> activeRequests_{0};
     std::atomic<int> pipelineThreads_{0};
--- a/src/libs/callers/callerrequest.cpp
+++ b/src/libs/callers/callerrequest.cpp
@@ -94,6 +94,12 @@
 
 } // namespace
 
+std::int64_t maxDurationMs(const CallerRequest &request, const Steering::RouteRule *route)
+{
+    const std::int64_t budget = request.metadata.budgetMs.value_or(defaultDeadlineMs);
+    return route != nullptr && route->timeoutMs > 0 ? std::min(budget, route->timeoutMs) : budget;
+}
+
 std::string_view toString(ReadOutcome outcome)
 {
     switch (outcome) {
--- a/src/libs/callers/callerrequest.h
+++ b/src/libs/callers/callerrequest.h
@@ -26,6 +26,9 @@
 /// Deadline in ms after arrival for requests that state none; a route's timeout may shorten it.
 constexpr std::int64_t defaultDeadlineMs = 30'000;
 
+/// How long after its arrival the final answer to @p request is due, in ms. @p route may be null.
+[[nodiscard]] std::int64_t maxDurationMs(const CallerRequest &request, const Steering::RouteRule *route);
+
 /// Result of reading a request.
 enum class ReadOutcome {
     Complete,
--- a/src/libs/callers/callersession.cpp
+++ b/src/libs/callers/callersession.cpp
@@ -1,5 +1,7 @@
 #include "callersession.h"
 
+#include "requestcheck.h"
+
 #include <base/log.h>
 #include <http/messagehead.h>
 
@@ -132,7 +134,7 @@
         rejectIncomplete(outcome, request);
         return false;
     }
-    if (isRejectingNewRequests()) {
+    if (mustReject(request)) {
         // The request might not finish before the process exits; another VM can take it at once.
         constexpr std::int64_t retryAfterMs = 20;
         return answer(request, {DispatchOutcome::Stopping, {}, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, retryAfterMs});
@@ -142,10 +144,21 @@
     return answer(request, result, pipelined.size()) && answerPipelined(pipelined);
 }
 
-bool CallerSession::isRejectingNewRequests() const
+bool CallerSession::mustReject(const CallerRequest &request) const
 {
     const Base::MonotonicMs rejectAfter = context_.rejectAfter.load(std::memory_order_relaxed);
-    return rejectAfter > 0 && context_.pass.clock.monotonic() >= rejectAfter;
+    if (rejectAfter == 0) {
+        return false;
+    }
+    const Base::MonotonicMs now = context_.pass.clock.monotonic();
+    if (now >= rejectAfter || now < context_.rejectLongAfter.load(std::memory_order_relaxed)) {
+        return now >= rejectAfter;
+    }
+    const std::int64_t allowedMs = context_.pass.snapshot.read([&](const Steering::RoutingSnapshot &snapshot) {
+        const auto *route = snapshot.manifest ? Steering::findRoute(*snapshot.manifest, requestHost(request.head), requestPath(request.head)) : nullptr;
+        return maxDurationMs(request, route);
+    });
+    return request.arrivedAt + allowedMs > context_.pass.stopDeadline.load(std::memory_order_relaxed);
 }
 
 DispatchResult CallerSession::pass(const CallerRequest &request, PipelinedRequests &pipelined)
--- a/src/libs/callers/callersession.h
+++ b/src/libs/callers/callersession.h
@@ -13,6 +13,8 @@
     const std::atomic<bool> &stopping;
     /// Monotonic time from which new requests are rejected because the process stops; 0 while they are accepted.
     const std::atomic<Base::MonotonicMs> &rejectAfter;
+    /// While the process stops, monotonic time from which requests whose deadline is after its exit are rejected.
+    const std::atomic<Base::MonotonicMs> &rejectLongAfter;
     /// Number of requests that are being served.
     std::atomic<int> &activeRequests;
     /// Number of threads that run pipelined requests concurrently with an earlier one of their connection.
@@ -37,7 +39,8 @@
     /// Sends the answer; false when the connection must be closed. While the process stops, the connection stays open for the @p pipelinedCount requests
     /// that follow this one and are already being served.
     bool answer(const CallerRequest &request, const DispatchResult &result, std::size_t pipelinedCount = 0);
-    [[nodiscard]] bool isRejectingNewRequests() const;
+    /// Whether the process stops too soon to take @p request.
+    [[nodiscard]] bool mustReject(const CallerRequest &request) const;
     bool sendAnswer(const CallerRequest &request, const DispatchResult &result, bool close);
     /// Rejects a request that could not be read completely, and closes the connection.
     void rejectIncomplete(ReadOutcome outcome, const CallerRequest &request);
--- a/src/libs/callers/requestdispatcher.cpp
+++ b/src/libs/callers/requestdispatcher.cpp
@@ -122,8 +122,7 @@
     if (!snapshot_->manifest) {
         result = failWith(DispatchOutcome::NotReady);
     } else if (const auto *route = Steering::findRoute(*snapshot_->manifest, requestHost(request_.head), requestPath(request_.head))) {
-        const std::int64_t budget = request_.metadata.budgetMs.value_or(defaultDeadlineMs);
-        deadline_ = request_.arrivedAt + (route->timeoutMs > 0 ? std::min(budget, route->timeoutMs) : budget);
+        deadline_ = request_.arrivedAt + maxDurationMs(request_, route);
         deadline_ = stop > 0 ? std::min(deadline_, stop) : deadline_;
         result = dispatchTo(*route);
     } else {
--- a/tests/auto/entry/tst_stopping.cpp
+++ b/tests/auto/entry/tst_stopping.cpp
@@ -1,5 +1,7 @@
 #include "entryfixture.h"
 
+#include <standins/platformobjects.h>
+
 #include <doctest/doctest.h>
 
 #include <Poco/Exception.h>
@@ -158,3 +160,25 @@
     CHECK(afterSignal > callers);
     CHECK(vm->wait() == 0);
 }
+
+TEST_CASE_FIXTURE(StoppingFixture, "vm_isStopped_requestThatMayNotEndInTimeIsRejectedAndOneThatWasTakenIsAnswered")
+{
+    // Guards against a request that is taken late in the grace period, although its caller waits for longer than the VM will live, and is
+    // broken off when the VM exits.
+    constexpr int slowMs = 3'000;
+    constexpr int lateMs = 3'150;
+    store.put("config", "main",
+        StandIns::manifestObject(
+            2, {{"once", StandIns::routeObject("/once/", "unsafe", 8'000, 2)}, {"safe", StandIns::routeObject("/safe/", "safe", 8'000, 2)}}));
+    REQUIRE(eventually([this] { return get("/safe/x").status == 200; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    script = [](int, const Request &request) { return Answer{.bytes = ScriptedUpstream::completeAnswer(request, 200, "done"), .delayMs = slowMs}; };
+    vm->signal(SIGTERM);
+    const CallerAnswer early = send("POST", "/once/x", "order", "X-Deadline-Ms: 8000\r\n");
+    CHECK(early.status == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(lateMs - slowMs));
+    const CallerAnswer late = send("POST", "/once/x", "order", "X-Deadline-Ms: 8000\r\n");
+    CHECK(late.status == 503);
+    CHECK(late.head.find("Retry-After: ") != std::string::npos);
+    CHECK(vm->wait() == 0);
+}
