An attempt begins only for a caller that is still there

Cause: the caller's connection was watched only while an attempt waits. A request read late, over a reused connection, was sent at once and cancelled a moment later. Change: each attempt looks at the caller's connection before an upstream is selected, and again after it opened a connection. Evidence: caller_leavesBeforeItsRequestIsRead_* failed before (20 of 20 requests of callers that had left reached an upstream) and passes. Ruled out: the waits for capacity and connections, which watch the caller.

--- a/src/libs/callers/requestdispatcher.cpp
+++ b/src/libs/callers/requestdispatcher.cpp
@@ -160,6 +160,10 @@
     if (now >= deadline_) {
         return failAtDeadline();
     }
+    // On a busy processor a request is read long after it was sent, and its caller may have left.
+    if (caller_.isClosedByPeer()) {
+        return failWith(DispatchOutcome::CallerDisconnected);
+    }
     const Steering::Selection selection
         = Steering::selectUpstream(*snapshot_, service, {&route, keyHash_, triedUpstreams_, now}, context_.selectorLimits, context_.regionShiftLimiter);
     lastLoad_ = selection.loadPerSlot;
--- a/src/libs/upstreams/upstreamcall.cpp
+++ b/src/libs/upstreams/upstreamcall.cpp
@@ -120,7 +120,8 @@
     stream_ = Http::connectTo({upstream.host, upstream.port}, limit, clock_, state, caller_);
     if (stream_) {
         Http::applyTcpOptions(stream_->socket(), upstreamConnectionCare);
-        return CallOutcome::Answered;
+        // The caller may have left in the same instant in which the connection was established.
+        return caller_->isClosedByPeer() ? CallOutcome::CallerDisconnected : CallOutcome::Answered;
     }
     if (state == Http::IoState::Interrupted) {
         return CallOutcome::CallerDisconnected;
--- a/tests/auto/entry/tst_control.cpp
+++ b/tests/auto/entry/tst_control.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include <chrono>
 #include <csignal>
 #include <thread>
@@ -118,3 +121,23 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     CHECK(get("/safe/x").status == 200);
 }
+
+TEST_CASE_FIXTURE(EntryFixture, "caller_leavesBeforeItsRequestIsRead_requestReachesNoUpstream")
+{
+    // Guards against work for callers that gave up a VM which was short of processor time: it read their requests late and sent them on.
+    constexpr int callers = 20;
+    REQUIRE(get("/safe/x").status == 200);
+    const std::size_t before = runs();
+    vm->signal(SIGSTOP);
+    for (int i = 0; i < callers; ++i) {
+        Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", callerPort));
+        const std::string text = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: left-" + std::to_string(i) + "\r\nX-Deadline-Ms: 60000\r\n\r\n";
+        socket.sendBytes(text.data(), static_cast<int>(text.size()));
+        socket.close();
+    }
+    vm->signal(SIGCONT);
+    // A request of a caller that stays is served, so the VM has read those before it.
+    CHECK(get("/safe/x").status == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    CHECK(runs() == before + 1);
+}
