Metric label of evacuations doesn't repeat a wire name of the platform

Cause: the label of wasabistair_store_revision_* was the platform's name of the kind, which only platform/ may use; scripts/check-style.sh failed on it. Change: the label is evacuated-zones. Result: the search for wire names in src/ finds none.

--- a/src/libs/nodes/revisiontracker.cpp
+++ b/src/libs/nodes/revisiontracker.cpp
@@ -17,7 +17,7 @@
 
 std::string_view toString(StoreChangeKind kind)
 {
-    static constexpr std::array<std::string_view, changeKindCount> names = {"configuration", "upstreams", "evacuations"};
+    static constexpr std::array<std::string_view, changeKindCount> names = {"configuration", "upstreams", "evacuated-zones"};
     return names.at(indexOf(kind));
 }
 
