A stated limit outlives a gap in its upstream's registration

When that lapsed for a moment, as entries do during an outage of the store, the VM forgot the limit and sent the upstream its usual share again, although it had been told. Change: records of incarnations with a statement in force are kept for 10 minutes after their registration is gone, at most 4,096 of them, under id and start time, so that another process under the same id isn't held back. Evidence: record_registrationLapsesAndReturns_* failed before (no limit after the return; two checks) and passes.

--- a/src/libs/steering/routingsnapshot.cpp
+++ b/src/libs/steering/routingsnapshot.cpp
@@ -8,6 +8,12 @@
 
 namespace {
 
+// A registration that is missing for longer than this belongs to an upstream that has ended: entries that lapse during an outage are
+// back within seconds of its end.
+constexpr std::int64_t unregisteredRecordMs = 600'000;
+// Bounds the memory for upstreams that have ended; the oldest are dropped first.
+constexpr std::size_t maxUnregisteredRecords = 4'096;
+
 int mostUrgentPriority(const Manifest &manifest, const std::string &service)
 {
     int top = -1;
@@ -59,11 +65,13 @@
 std::set<std::string> RoutingSnapshotBuilder::applyUpstreams(const RoutingSnapshotSources &sources, std::int64_t nowMs)
 {
     std::set<std::string> changed;
+    std::erase_if(unregistered_, [&](const auto &kept) { return kept.second.dropAtMs <= nowMs; });
     // Both maps are sorted by id, so one pass compares them.
     auto tracked = upstreams_.begin();
     for (const auto &[id, entry] : sources.upstreams) {
         while (tracked != upstreams_.end() && tracked->first < id) {
             changed.insert(tracked->second.entry.service);
+            keepRecord(tracked->second, nowMs);
             tracked = upstreams_.erase(tracked);
         }
         if (tracked == upstreams_.end() || tracked->first != id) {
@@ -78,20 +86,22 @@
     }
     while (tracked != upstreams_.end()) {
         changed.insert(tracked->second.entry.service);
+        keepRecord(tracked->second, nowMs);
         tracked = upstreams_.erase(tracked);
     }
     return changed;
 }
 
 bool RoutingSnapshotBuilder::applyUpstream(
-    TrackedUpstream &tracked, const UpstreamEntry &entry, const RoutingSnapshotSources &sources, std::int64_t nowMs) const
+    TrackedUpstream &tracked, const UpstreamEntry &entry, const RoutingSnapshotSources &sources, std::int64_t nowMs)
 {
     const bool evacuated = sources.evacuatedZones.contains(entry.zone);
     if (tracked.record && tracked.entry == entry && tracked.evacuated == evacuated) {
         return false;
     }
     if (!tracked.record || tracked.entry.startedAtMs != entry.startedAtMs) {
-        tracked = {{}, initialized_ ? nowMs : 0, false, std::make_shared<UpstreamRecord>()};
+        keepRecord(tracked, nowMs);
+        tracked = {{}, initialized_ ? nowMs : 0, false, takeRecord(entry)};
     }
     if (tracked.entry.coldLeftMs != entry.coldLeftMs) {
         tracked.record->setColdUntil(nowMs + entry.coldLeftMs);
@@ -106,6 +116,24 @@
     return true;
 }
 
+void RoutingSnapshotBuilder::keepRecord(const TrackedUpstream &tracked, std::int64_t nowMs)
+{
+    if (!tracked.record || !tracked.record->hasStatement()) {
+        return;
+    }
+    unregistered_[{tracked.entry.id, tracked.entry.startedAtMs}] = {tracked.record, nowMs + unregisteredRecordMs};
+    if (unregistered_.size() > maxUnregisteredRecords) {
+        const auto earlier = [](const auto &left, const auto &right) { return left.second.dropAtMs < right.second.dropAtMs; };
+        unregistered_.erase(std::min_element(unregistered_.begin(), unregistered_.end(), earlier));
+    }
+}
+
+std::shared_ptr<UpstreamRecord> RoutingSnapshotBuilder::takeRecord(const UpstreamEntry &entry)
+{
+    const auto kept = unregistered_.extract(Incarnation{entry.id, entry.startedAtMs});
+    return kept.empty() ? std::make_shared<UpstreamRecord>() : kept.mapped().record;
+}
+
 std::shared_ptr<const ServiceSnapshot> RoutingSnapshotBuilder::serviceSnapshot(const std::string &name, const Manifest &manifest)
 {
     auto &record = serviceRecords_[name];
--- a/src/libs/steering/routingsnapshot.h
+++ b/src/libs/steering/routingsnapshot.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Wasabistair::Steering {
@@ -99,16 +100,30 @@
         std::shared_ptr<UpstreamRecord> record;
     };
 
+    /// Record of an incarnation that is no longer registered, and when it is dropped.
+    struct UnregisteredRecord {
+        std::shared_ptr<UpstreamRecord> record;
+        std::int64_t dropAtMs = 0;
+    };
+
+    /// Id and start time, which together identify an incarnation.
+    using Incarnation = std::pair<std::string, std::int64_t>;
+
     /// Applies the upstreams of @p sources; returns the services with an added, removed or changed upstream.
     std::set<std::string> applyUpstreams(const RoutingSnapshotSources &sources, std::int64_t nowMs);
     /// Applies one registration; returns whether it changed.
-    bool applyUpstream(TrackedUpstream &tracked, const UpstreamEntry &entry, const RoutingSnapshotSources &sources, std::int64_t nowMs) const;
+    bool applyUpstream(TrackedUpstream &tracked, const UpstreamEntry &entry, const RoutingSnapshotSources &sources, std::int64_t nowMs);
+    /// Keeps the record of @p tracked for the case that the same incarnation is registered again.
+    void keepRecord(const TrackedUpstream &tracked, std::int64_t nowMs);
+    /// The record that was kept for the incarnation of @p entry, or a new one.
+    [[nodiscard]] std::shared_ptr<UpstreamRecord> takeRecord(const UpstreamEntry &entry);
     [[nodiscard]] std::shared_ptr<const ServiceSnapshot> serviceSnapshot(const std::string &name, const Manifest &manifest);
     [[nodiscard]] UpstreamSnapshot upstreamSnapshot(const TrackedUpstream &tracked) const;
 
     const Locality locality_;
     std::vector<std::string> regions_;
     std::map<std::string, TrackedUpstream> upstreams_;
+    std::map<Incarnation, UnregisteredRecord> unregistered_;
     std::map<std::string, std::shared_ptr<ServiceRecord>> serviceRecords_;
     /// Manifest that the present service snapshots were built from.
     std::shared_ptr<const Manifest> manifest_;
--- a/src/libs/steering/upstreamrecord.cpp
+++ b/src/libs/steering/upstreamrecord.cpp
@@ -97,4 +97,9 @@
     return announcedLimit_;
 }
 
+bool UpstreamRecord::hasStatement() const
+{
+    return announcedLimit_.requestsPerSecond().has_value();
+}
+
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamrecord.h
+++ b/src/libs/steering/upstreamrecord.h
@@ -52,6 +52,8 @@
     RateLimiter &coldStartLimiter();
     RateLimiter &probationLimiter();
     AnnouncedLimit &announcedLimit();
+    /// Whether anything that the upstream stated in its answers is in force.
+    [[nodiscard]] bool hasStatement() const;
 
 private:
     void recordLoad(AttemptOutcome outcome, const std::optional<ReportedLoad> &load, std::int64_t nowMs);
--- a/tests/auto/steering/tst_routingsnapshot.cpp
+++ b/tests/auto/steering/tst_routingsnapshot.cpp
@@ -279,3 +279,33 @@
     REQUIRE(vms.size() == 1);
     CHECK(vms.front().name == "far");
 }
+
+TEST_CASE_FIXTURE(SnapshotFixture, "record_registrationLapsesAndReturns_keepsTheStatedLimit")
+{
+    // Guards against an upstream in need that gets its usual share again because its registration was missing for a moment.
+    const auto limitOf = [this] {
+        const auto &upstreams = snapshot->services.at("s")->upstreams;
+        const auto found = std::find_if(upstreams.begin(), upstreams.end(), [](const auto &upstream) { return upstream.entry.id == "u1"; });
+        return found->record->announcedLimit().requestsPerSecond();
+    };
+    const UpstreamEntry entry = sources.upstreams.at("u1");
+    snapshot->services.at("s")->upstreams.at(1).record->announcedLimit().record({2.0, false}, true, start, start);
+    REQUIRE(limitOf() == 2.0);
+    sources.upstreams.erase("u1");
+    rebuild(start + 100);
+    sources.upstreams["u1"] = entry;
+    rebuild(start + 2'000);
+    CHECK(limitOf() == 2.0);
+    // Another incarnation under the same id has stated nothing, and a stale entry of the first one finds its limit again.
+    sources.upstreams["u1"].startedAtMs = entry.startedAtMs + 1;
+    rebuild(start + 3'000);
+    CHECK_FALSE(limitOf());
+    sources.upstreams["u1"] = entry;
+    rebuild(start + 4'000);
+    CHECK(limitOf() == 2.0);
+    sources.upstreams.erase("u1");
+    rebuild(start + 5'000);
+    sources.upstreams["u1"] = entry;
+    rebuild(start + 5'000 + 600'000);
+    CHECK_FALSE(limitOf());
+}
