The standalone mode sends nothing for callers that have left either

Change: it looks at the caller's connection where it checks the deadline again, immediately before an attempt's first byte. Evidence: tst_connections caller_leavesBeforeItsRequestIsRead_* failed before (20 of 20 requests of callers that had left ran) and passes; all seven cases of tst_connections pass.

--- a/src/libs/callers/forwarding.cpp
+++ b/src/libs/callers/forwarding.cpp
@@ -172,6 +172,10 @@
         reject({ProblemKind::DeadlineBeforeSend, ExecutionState::NotExecuted});
         return true;
     }
+    // A request that was read late may have lost its caller.
+    if (exchange_.isCallerDisconnected()) {
+        return handleResult(AttemptResult::CallerDisconnected, attempt, body);
+    }
     if (!context_.router.mayStillSend(route)) {
         return retryOrFail(route, {ProblemKind::NoHeadroom, ExecutionState::NotExecuted}, true, RetryCost::Free);
     }
--- a/tests/auto/faults/tst_connections.cpp
+++ b/tests/auto/faults/tst_connections.cpp
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -109,6 +110,28 @@
         5'000));
 }
 
+TEST_CASE_FIXTURE(ConnectionsFixture, "caller_leavesBeforeItsRequestIsRead_requestReachesNoUpstream")
+{
+    // Guards against work for callers that gave up a VM which was short of processor time: it read their requests late and sent them on.
+    constexpr int callers = 20;
+    start();
+    ChildProcess &vm = *fleet.vms()[0].process;
+    CallerClient client(fleet.entries()[0], 20'000);
+    REQUIRE(client.call({"before", "GET", "orders.test", "/x", 0, false, {}}).result == CallerResult::Answered);
+    vm.signal(SIGSTOP);
+    for (int i = 0; i < callers; ++i) {
+        Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", fleet.entries()[0].port));
+        const std::string request = "GET /x HTTP/1.1\r\nHost: orders.test\r\nX-Request-Id: left-" + std::to_string(i) + "\r\n\r\n";
+        socket.sendBytes(request.data(), static_cast<int>(request.size()));
+        socket.close();
+    }
+    vm.signal(SIGCONT);
+    CHECK(client.call({"after", "GET", "orders.test", "/x", 0, false, {}}).result == CallerResult::Answered);
+    sleepMs(500);
+    const auto runs = fleet.runCountsById();
+    CHECK(std::count_if(runs.begin(), runs.end(), [](const auto &run) { return run.first.starts_with("left-"); }) == 0);
+}
+
 TEST_CASE_FIXTURE(ConnectionsFixture, "request_deadlineOfTheCaller_isKept")
 {
     start();
