Requests follow what upstreams say in their answers about leaving and pauses

Neither was read. Change: the adapter decodes both, typed, also from heads whose body breaks off and, for leaving, from interim answers. The record of each incarnation keeps them; every attempt looks at both when it selects an upstream, and at a pause again before its first byte. Leaving in an authentic answer is never undone, whatever lists and events say; without signature it holds for 30 s. A pause is at most 300 s, no failure of health, and the VMs return from it one after the other. When all upstreams pause, callers are rejected at once with the earliest end. One line a change, counters, a cause for explain. State: 16 bytes an upstream, at most 4,096 records of unregistered ones; no call to the store, no message between VMs.

--- a/src/libs/callers/requestdispatcher.cpp
+++ b/src/libs/callers/requestdispatcher.cpp
@@ -1,6 +1,7 @@
 #include "requestdispatcher.h"
 
 #include "requestcheck.h"
+#include "upstreamstatements.h"
 
 #include <base/log.h>
 #include <steering/hash.h>
@@ -85,18 +86,15 @@
         return AttemptOutcome::Discarded;
     case CallOutcome::CallerDisconnected:
         return AttemptOutcome::Abandoned;
+    case CallOutcome::Withdrawn:
+        return AttemptOutcome::Withdrawn;
     }
     return AttemptOutcome::Broken;
 }
 
-std::string limitText(const std::optional<double> &requestsPerSecond)
-{
-    return requestsPerSecond ? std::to_string(*requestsPerSecond) : "none";
-}
-
 bool isDelivered(AttemptOutcome outcome)
 {
-    return outcome != AttemptOutcome::NoConnection && outcome != AttemptOutcome::ConnectTimeout;
+    return outcome != AttemptOutcome::NoConnection && outcome != AttemptOutcome::ConnectTimeout && outcome != AttemptOutcome::Withdrawn;
 }
 
 bool isNotRun(AttemptOutcome outcome)
@@ -129,7 +127,7 @@
         result = failWith(DispatchOutcome::NoRoute);
     }
     logRequest(result);
-    context_.metrics.countHeldBack(heldBack_);
+    context_.metrics.countHeldBack(heldBack_, pausing_ > 0);
     context_.metrics.countRequest(result.end, static_cast<double>(context_.clock.monotonic() - request_.arrivedAt) / msPerSecond);
     return result;
 }
@@ -168,6 +166,7 @@
         = Steering::selectUpstream(*snapshot_, service, {&route, keyHash_, triedUpstreams_, now}, context_.selectorLimits, context_.regionShiftLimiter);
     lastLoad_ = selection.loadPerSlot;
     heldBack_ += selection.heldBack;
+    pausing_ = selection.pausing;
     admissionInMs_ = selection.admissionInMs;
     if (selection.end != Steering::SelectionOutcome::Selected) {
         if (selection.end == Steering::SelectionOutcome::AllOverloaded && waitForFreeCapacity(route, selection.admissionInMs)) {
@@ -190,18 +189,22 @@
 {
     const Base::MonotonicMs begin = context_.clock.monotonic();
     upstream.record->beginAttempt();
+    if (upstream.record->announcedLimit().requestsPerSecond()) {
+        context_.metrics.countWithinLimit();
+    }
     Upstreams::UpstreamCall call(context_.idleConnections, context_.memory, context_.clock);
-    result = call.run(upstream.entry, {request_.head, request_.body, request_.metadata.requestId, route.idempotent}, caller_, deadline_);
+    const auto maySend = [&] { return !upstream.record->requestedPause().isInForceAt(context_.clock.monotonic()); };
+    result = call.run(upstream.entry, {request_.head, request_.body, request_.metadata.requestId, route.idempotent, maySend}, caller_, deadline_);
     const Base::MonotonicMs now = context_.clock.monotonic();
     const AttemptOutcome outcome = outcomeOf(result);
     if (const auto &load = result.answer.metadata.load) {
         service.load.record(*load, now);
     }
-    if (result.end == CallOutcome::Answered) {
-        recordLimit(upstream, result.answer, begin, now);
-    }
-    // A timeout says nothing about the upstream if the caller's deadline is shorter than requests usually take.
-    const bool conclusive = outcome != AttemptOutcome::Timeout || now - begin >= objectivesUntilTimeoutCounts * route.objectiveMs;
+    recordStatements({*snapshot_, upstream, request_.metadata.requestId, begin, now}, result, context_.metrics);
+    // A timeout says nothing about the upstream if the caller's deadline is shorter than requests usually take, and neither does a
+    // rejection that asks for a pause.
+    const bool asksForPause = result.answer.metadata.requestedPauseMs.has_value();
+    const bool conclusive = !asksForPause && (outcome != AttemptOutcome::Timeout || now - begin >= objectivesUntilTimeoutCounts * route.objectiveMs);
     if (conclusive && (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::Timeout)) {
         const double share = service.timeoutRate.load(std::memory_order_relaxed);
         service.timeoutRate.store(Steering::nextTimeoutRate(share, outcome == AttemptOutcome::Timeout, serviceTimeoutRateWeight), std::memory_order_relaxed);
@@ -216,23 +219,6 @@
     return outcome;
 }
 
-void RequestDispatcher::recordLimit(
-    const Steering::UpstreamSnapshot &upstream, const Upstreams::UpstreamAnswer &answer, Base::MonotonicMs begin, Base::MonotonicMs now)
-{
-    const Adapter::AnswerMetadata &metadata = answer.metadata;
-    if (metadata.wrongInstance) {
-        return;
-    }
-    const auto change = upstream.record->announcedLimit().record(metadata.limit, metadata.isSigned || metadata.notExecuted, begin, now);
-    if (change.before == change.after) {
-        return;
-    }
-    context_.metrics.countLimitChange();
-    Base::log(Base::LogLevel::Info, "upstream-limit",
-        {{"upstream", upstream.entry.id}, {"service", upstream.entry.service}, {"before", limitText(change.before)}, {"after", limitText(change.after)},
-            {"vms", snapshot_->fleetSize}, {"request", request_.metadata.requestId}});
-}
-
 void RequestDispatcher::recordAttempt(const Steering::UpstreamSnapshot &upstream, AttemptOutcome outcome, std::int64_t tookMs)
 {
     context_.metrics.countAttempt(outcome);
@@ -363,7 +349,7 @@
             {"status", result.end == DispatchOutcome::Answered ? result.answer.status : result.status}, {"route", routeName_}, {"service", service_},
             {"manifest", snapshot_->manifest ? snapshot_->manifest->version : 0}, {"upstream", lastUpstream_}, {"outcome", std::string(lastOutcome_)},
             {"tries", deliveredAttempts_}, {"choices", selections_}, {"trail", attemptTrail_}, {"loadPercent", static_cast<int>(100 * lastLoad_)},
-            {"waitMs", waitedMs_}, {"heldBack", heldBack_}, {"tookMs", now - request_.arrivedAt}, {"leftMs", deadline_ - now},
+            {"waitMs", waitedMs_}, {"heldBack", heldBack_}, {"pausing", pausing_}, {"tookMs", now - request_.arrivedAt}, {"leftMs", deadline_ - now},
             {"retryAfterMs", result.retryAfterMs}});
 }
 
--- a/src/libs/callers/requestdispatcher.h
+++ b/src/libs/callers/requestdispatcher.h
@@ -69,7 +69,6 @@
     [[nodiscard]] bool mayRetry(const Steering::RouteRule &route, const Steering::ServiceSnapshot &service, bool delivered);
     [[nodiscard]] DispatchResult failWith(DispatchOutcome end) const;
     [[nodiscard]] DispatchResult failAtDeadline() const;
-    void recordLimit(const Steering::UpstreamSnapshot &upstream, const Upstreams::UpstreamAnswer &answer, Base::MonotonicMs begin, Base::MonotonicMs now);
     /// Waits a short time; false when the request may not wait longer or no capacity becomes free meanwhile.
     [[nodiscard]] bool waitForFreeCapacity(const Steering::RouteRule &route, std::int64_t admissionInMs);
     void logRequest(const DispatchResult &result) const;
@@ -89,10 +88,12 @@
     /// Whether an upstream may have executed the request.
     bool mayHaveRun_ = false;
     std::int64_t waitedMs_ = 0;
-    /// Time until an upstream that states a limit admits the next request; 0 if that isn't what the request waits for.
+    /// Time until an upstream that states a limit or asked for a pause admits the next request; 0 if that isn't what the request waits for.
     std::int64_t admissionInMs_ = 0;
     /// How often stated limits kept the request from an upstream.
     int heldBack_ = 0;
+    /// Number of upstreams that were left out of the last selection because they asked for a pause.
+    int pausing_ = 0;
     // Members for the log entry of the request.
     std::string routeName_;
     std::string service_;
--- a/src/libs/callers/requestmetrics.cpp
+++ b/src/libs/callers/requestmetrics.cpp
@@ -20,6 +20,15 @@
     return BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
+prometheus::Counter &heldBack(prometheus::Registry &registry, const char *reason)
+{
+    return BuildCounter()
+        .Name("wasabistair_requests_held_back_total")
+        .Help("By reason: times that a stated limit kept a request from an upstream (limit); requests for which pausing upstreams were left out (pause).")
+        .Register(registry)
+        .Add({{"reason", reason}});
+}
+
 } // namespace
 
 std::string_view toString(DispatchOutcome end)
@@ -51,6 +60,19 @@
     return "unknown";
 }
 
+std::string_view toString(UpstreamStatement statement)
+{
+    switch (statement) {
+    case UpstreamStatement::LimitChanged:
+        return "limit-changed";
+    case UpstreamStatement::PauseRequested:
+        return "pause";
+    case UpstreamStatement::Leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
 RequestMetrics::RequestMetrics(prometheus::Registry &registry)
     : retries_(counter(registry, "wasabistair_request_repeats_total", "Retries of requests at further upstreams."))
     , retriesDenied_(counter(registry, "wasabistair_request_repeats_denied_total", "Retries denied by the retry budget."))
@@ -64,14 +86,21 @@
     , connectionsRefused_(counter(registry, "wasabistair_caller_connections_refused_total", "Connections of callers closed because no thread was free."))
     , readAhead_(counter(
           registry, "wasabistair_requests_read_ahead_total", "Pipelined requests started while an earlier request of their connection was being served."))
-    , heldBack_(counter(registry, "wasabistair_requests_held_back_total", "Times that a limit stated by an upstream kept a request from it."))
-    , limitChanges_(counter(registry, "wasabistair_upstream_limit_changes_total", "Limits stated by upstreams: set, changed or ended."))
+    , heldBackByLimit_(heldBack(registry, "limit"))
+    , heldBackByPause_(heldBack(registry, "pause"))
+    , withinLimit_(counter(registry, "wasabistair_requests_within_limit_total", "Requests sent to upstreams within the limits that they state."))
 {
     auto &requests = BuildCounter().Name("wasabistair_requests_total").Help("Requests of callers by how they ended.").Register(registry);
     for (std::size_t i = 0; i < requestEndCount; ++i) {
         const auto end = static_cast<DispatchOutcome>(i);
         requests_[end] = &requests.Add({{"end", std::string(toString(end))}});
     }
+    auto &statements
+        = BuildCounter().Name("wasabistair_upstream_statements_total").Help("Answers in which upstreams stated something about themselves.").Register(registry);
+    for (std::size_t i = 0; i < upstreamStatementCount; ++i) {
+        const auto statement = static_cast<UpstreamStatement>(i);
+        statements_[statement] = &statements.Add({{"statement", std::string(toString(statement))}});
+    }
     auto &attempts = BuildCounter().Name("wasabistair_upstream_tries_total").Help("Attempts at upstreams by their outcome.").Register(registry);
     for (int i = 0; i <= static_cast<int>(Steering::AttemptOutcome::Abandoned); ++i) {
         const auto outcome = static_cast<Steering::AttemptOutcome>(i);
@@ -110,14 +139,20 @@
     readAhead_.Increment();
 }
 
-void RequestMetrics::countHeldBack(int count)
+void RequestMetrics::countHeldBack(int byLimit, bool byPause)
+{
+    heldBackByLimit_.Increment(byLimit);
+    heldBackByPause_.Increment(byPause ? 1 : 0);
+}
+
+void RequestMetrics::countWithinLimit()
 {
-    heldBack_.Increment(count);
+    withinLimit_.Increment();
 }
 
-void RequestMetrics::countLimitChange()
+void RequestMetrics::countStatement(UpstreamStatement statement)
 {
-    limitChanges_.Increment();
+    statements_.at(statement)->Increment();
 }
 
 void RequestMetrics::countConnectionRefused()
--- a/src/libs/callers/requestmetrics.h
+++ b/src/libs/callers/requestmetrics.h
@@ -42,6 +42,19 @@
 constexpr std::size_t requestEndCount = 11;
 [[nodiscard]] std::string_view toString(DispatchOutcome end);
 
+/// What an upstream may state about itself in an answer.
+enum class UpstreamStatement {
+    /// A limit was set, changed or ended.
+    LimitChanged,
+    /// A rejection asked for a pause.
+    PauseRequested,
+    /// The upstream leaves.
+    Leaving,
+};
+
+constexpr std::size_t upstreamStatementCount = 3;
+[[nodiscard]] std::string_view toString(UpstreamStatement statement);
+
 /// Counters of the request path. Thread-safe.
 class RequestMetrics
 {
@@ -55,8 +68,11 @@
     prometheus::Gauge &requestsInFlight();
     void countConnectionRefused();
     void countReadAhead();
-    void countHeldBack(int count);
-    void countLimitChange();
+    /// @p byLimit: how often stated limits kept a request from an upstream; @p byPause: whether pauses did.
+    void countHeldBack(int byLimit, bool byPause);
+    /// Counts a request that is sent to an upstream within the limit that it states.
+    void countWithinLimit();
+    void countStatement(UpstreamStatement statement);
 
 private:
     std::map<DispatchOutcome, prometheus::Counter *> requests_;
@@ -68,8 +84,10 @@
     prometheus::Gauge &inFlight_;
     prometheus::Counter &connectionsRefused_;
     prometheus::Counter &readAhead_;
-    prometheus::Counter &heldBack_;
-    prometheus::Counter &limitChanges_;
+    prometheus::Counter &heldBackByLimit_;
+    prometheus::Counter &heldBackByPause_;
+    prometheus::Counter &withinLimit_;
+    std::map<UpstreamStatement, prometheus::Counter *> statements_;
 };
 
 } // namespace Wasabistair::Callers
--- a/src/libs/operators/requestexplanation.cpp
+++ b/src/libs/operators/requestexplanation.cpp
@@ -40,6 +40,13 @@
     return events.contains(line.event);
 }
 
+/// Whether @p line reports a change of an upstream that affects requests of its whole service.
+bool isUpstreamEvent(const LogLine &line)
+{
+    static const std::set<std::string> events = {"upstream-standing", "upstream-limit", "upstream-pause", "upstream-leaving"};
+    return events.contains(line.event);
+}
+
 std::vector<LogLine> relatedLines(const std::vector<LogLine> &lines, const LogLine &end)
 {
     const std::set<std::string> upstreams = upstreamsInRequest(end);
@@ -51,7 +58,7 @@
             continue;
         }
         const bool sameUpstream = upstreams.contains(line.field("upstream"));
-        const bool sameService = line.event == "upstream-standing" && !service.empty() && line.field("service") == service;
+        const bool sameService = isUpstreamEvent(line) && !service.empty() && line.field("service") == service;
         if (sameUpstream || sameService || isVmWideEvent(line)) {
             related.push_back(line);
         }
@@ -133,6 +140,10 @@
         return causeOfTimeout(lines, related, end);
     }
     if (kind == "no-room" || kind == "deadline-unsent") {
+        const bool isHeldBack = end.number("pausing") > 0 || end.number("heldBack") > 0;
+        if (isHeldBack && end.number("loadPercent") < busyLoadPercent) {
+            return RequestCause::UpstreamsHoldBack;
+        }
         return end.number("loadPercent") >= busyLoadPercent ? RequestCause::ServiceFull : RequestCause::KeyUpstreamsUnavailable;
     }
     static const std::map<std::string, RequestCause> others
@@ -181,6 +192,8 @@
         return "service-full";
     case RequestCause::KeyUpstreamsUnavailable:
         return "key-upstreams-unavailable";
+    case RequestCause::UpstreamsHoldBack:
+        return "upstreams-hold-back";
     case RequestCause::NoUpstream:
         return "no-upstream";
     case RequestCause::UpstreamsRejected:
@@ -222,6 +235,8 @@
         return "Every upstream of the service was full; the request was not sent.";
     case RequestCause::KeyUpstreamsUnavailable:
         return "The upstreams of its key were full, cold, on probation or gone while others had free capacity; the request was not sent.";
+    case RequestCause::UpstreamsHoldBack:
+        return "Upstreams that were not full asked for a pause or state a limit; the request was not sent.";
     case RequestCause::NoUpstream:
         return "No upstream of the service was registered or reachable; the request did not run.";
     case RequestCause::UpstreamsRejected:
--- a/src/libs/operators/requestexplanation.h
+++ b/src/libs/operators/requestexplanation.h
@@ -32,6 +32,8 @@
     ServiceFull,
     /// The upstreams of the request's affinity key were full, cold, on probation or gone; others had free capacity.
     KeyUpstreamsUnavailable,
+    /// Upstreams with free capacity asked for a pause or state a limit.
+    UpstreamsHoldBack,
     /// No upstream of the service was registered or reachable.
     NoUpstream,
     /// Every attempted upstream rejected the request.
--- a/src/libs/steering/routingsnapshot.cpp
+++ b/src/libs/steering/routingsnapshot.cpp
@@ -92,8 +92,7 @@
     return changed;
 }
 
-bool RoutingSnapshotBuilder::applyUpstream(
-    TrackedUpstream &tracked, const UpstreamEntry &entry, const RoutingSnapshotSources &sources, std::int64_t nowMs)
+bool RoutingSnapshotBuilder::applyUpstream(TrackedUpstream &tracked, const UpstreamEntry &entry, const RoutingSnapshotSources &sources, std::int64_t nowMs)
 {
     const bool evacuated = sources.evacuatedZones.contains(entry.zone);
     if (tracked.record && tracked.entry == entry && tracked.evacuated == evacuated) {
@@ -118,7 +117,7 @@
 
 void RoutingSnapshotBuilder::keepRecord(const TrackedUpstream &tracked, std::int64_t nowMs)
 {
-    if (!tracked.record || !tracked.record->hasStatement()) {
+    if (!tracked.record || !tracked.record->hasStatementAt(nowMs)) {
         return;
     }
     unregistered_[{tracked.entry.id, tracked.entry.startedAtMs}] = {tracked.record, nowMs + unregisteredRecordMs};
@@ -171,7 +170,8 @@
 {
     RegionCapacity room;
     for (const UpstreamSnapshot &upstream : service.upstreams) {
-        if (upstream.entry.leaving || upstream.evacuated
+        if (upstream.entry.leaving || upstream.evacuated || upstream.record->leavingNotice().isInForceAt(nowMs)
+            || upstream.record->requestedPause().isInForceAt(nowMs)
             || upstream.record->healthStateAt(service.record->timeoutRate.load(std::memory_order_relaxed), nowMs) == HealthState::Ejected) {
             continue;
         }
--- a/src/libs/steering/upstreamhealth.cpp
+++ b/src/libs/steering/upstreamhealth.cpp
@@ -64,6 +64,8 @@
         return "wrong-instance";
     case AttemptOutcome::Discarded:
         return "discarded";
+    case AttemptOutcome::Withdrawn:
+        return "withdrawn";
     case AttemptOutcome::Abandoned:
         return "abandoned";
     }
@@ -85,8 +87,8 @@
 
 UpstreamHealth afterAttempt(UpstreamHealth health, AttemptOutcome outcome, std::int64_t nowMs)
 {
-    if (outcome == AttemptOutcome::Abandoned || outcome == AttemptOutcome::Discarded || outcome == AttemptOutcome::RejectedOverloaded
-        || outcome == AttemptOutcome::StaleConnection) {
+    if (outcome == AttemptOutcome::Abandoned || outcome == AttemptOutcome::Withdrawn || outcome == AttemptOutcome::Discarded
+        || outcome == AttemptOutcome::RejectedOverloaded || outcome == AttemptOutcome::StaleConnection) {
         return health;
     }
     health.timeoutRate = nextTimeoutRate(health.timeoutRate, outcome == AttemptOutcome::Timeout, timeoutWeight);
--- a/src/libs/steering/upstreamhealth.h
+++ b/src/libs/steering/upstreamhealth.h
@@ -30,6 +30,8 @@
     WrongInstance,
     /// The request ran, but this VM had no memory for the answer. Doesn't affect the upstream's health.
     Discarded,
+    /// Nothing was sent, because the upstream asked for a pause after it had been selected. Doesn't affect its health.
+    Withdrawn,
     /// The caller disconnected, or nothing was sent. Doesn't affect the upstream's health.
     Abandoned,
 };
--- a/src/libs/steering/upstreamrecord.cpp
+++ b/src/libs/steering/upstreamrecord.cpp
@@ -97,9 +97,19 @@
     return announcedLimit_;
 }
 
-bool UpstreamRecord::hasStatement() const
+LeavingNotice &UpstreamRecord::leavingNotice()
 {
-    return announcedLimit_.requestsPerSecond().has_value();
+    return leavingNotice_;
+}
+
+RequestedPause &UpstreamRecord::requestedPause()
+{
+    return requestedPause_;
+}
+
+bool UpstreamRecord::hasStatementAt(std::int64_t nowMs) const
+{
+    return announcedLimit_.requestsPerSecond().has_value() || leavingNotice_.isInForceAt(nowMs) || requestedPause_.isInForceAt(nowMs);
 }
 
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamrecord.h
+++ b/src/libs/steering/upstreamrecord.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "announcedlimit.h"
+#include "leavingnotice.h"
 #include "ratelimiter.h"
+#include "requestedpause.h"
 #include "upstreamhealth.h"
 
 #include <atomic>
@@ -52,8 +54,10 @@
     RateLimiter &coldStartLimiter();
     RateLimiter &probationLimiter();
     AnnouncedLimit &announcedLimit();
-    /// Whether anything that the upstream stated in its answers is in force.
-    [[nodiscard]] bool hasStatement() const;
+    LeavingNotice &leavingNotice();
+    RequestedPause &requestedPause();
+    /// Whether anything that the upstream stated in its answers is in force at @p nowMs.
+    [[nodiscard]] bool hasStatementAt(std::int64_t nowMs) const;
 
 private:
     void recordLoad(AttemptOutcome outcome, const std::optional<ReportedLoad> &load, std::int64_t nowMs);
@@ -67,6 +71,8 @@
     RateLimiter coldGate_;
     RateLimiter probationGate_;
     AnnouncedLimit announcedLimit_;
+    LeavingNotice leavingNotice_;
+    RequestedPause requestedPause_;
     mutable std::mutex mutex_;
     UpstreamHealth health_;
 };
--- a/src/libs/steering/upstreamselector.cpp
+++ b/src/libs/steering/upstreamselector.cpp
@@ -41,34 +41,48 @@
     return upstream.record->loadAt(nowMs, service.record->load.at(nowMs) * upstream.entry.slots);
 }
 
-/// View of @p upstream without its load.
-UpstreamView viewOf(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const UpstreamSnapshot &upstream, const SelectionQuery &query)
+/// The upstreams of a service, as one request sees them.
+struct Candidates {
+    /// One for each upstream, without its load.
+    std::vector<UpstreamView> views;
+    /// Slots of the upstreams that take requests.
+    RegionCapacity capacity;
+    /// Number of upstreams that asked for a pause.
+    int pausing = 0;
+};
+
+/// Whether the registration, the upstream's leaving, the route or the limit on connections forbid any request of @p query to @p upstream now.
+bool isUnavailable(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const UpstreamSnapshot &upstream, const SelectionQuery &query)
 {
-    UpstreamView view;
-    view.idHash = upstream.idHash;
-    view.slots = upstream.entry.slots;
-    view.ramp = rampAt(upstream.joinedAtMs, query.nowMs);
-    view.local = upstream.local;
-    view.healthState = upstream.record->isEjectedAt(query.nowMs) ? HealthState::Ejected : HealthState::Healthy;
-    const bool attempted = std::find(query.attempted.begin(), query.attempted.end(), upstream.idHash) != query.attempted.end();
-    view.excluded = attempted || upstream.entry.leaving || upstream.evacuated || !isHomeRegion(*query.route, upstream.region)
-        || !isBelowConnectionLimit(snapshot, service.rule, upstream);
-    return view;
+    return upstream.entry.leaving || upstream.evacuated || upstream.record->leavingNotice().isInForceAt(query.nowMs)
+        || !isHomeRegion(*query.route, upstream.region) || !isBelowConnectionLimit(snapshot, service.rule, upstream);
 }
 
-/// Views of all upstreams. Adds the slots of those that take requests to @p room.
-std::vector<UpstreamView> viewsOf(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const SelectionQuery &query, RegionCapacity &room)
+bool wasAttempted(const SelectionQuery &query, const UpstreamSnapshot &upstream)
 {
-    std::vector<UpstreamView> views;
-    views.reserve(service.upstreams.size());
+    return std::find(query.attempted.begin(), query.attempted.end(), upstream.idHash) != query.attempted.end();
+}
+
+Candidates findCandidates(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const SelectionQuery &query)
+{
+    Candidates candidates;
+    candidates.views.reserve(service.upstreams.size());
     for (const UpstreamSnapshot &upstream : service.upstreams) {
-        views.push_back(viewOf(snapshot, service, upstream, query));
-        const UpstreamView &view = views.back();
+        const bool pauses = upstream.record->requestedPause().isInForceAt(query.nowMs);
+        UpstreamView view;
+        view.idHash = upstream.idHash;
+        view.slots = upstream.entry.slots;
+        view.ramp = rampAt(upstream.joinedAtMs, query.nowMs);
+        view.local = upstream.local;
+        view.healthState = upstream.record->isEjectedAt(query.nowMs) ? HealthState::Ejected : HealthState::Healthy;
+        view.excluded = pauses || wasAttempted(query, upstream) || isUnavailable(snapshot, service, upstream, query);
+        candidates.views.push_back(view);
+        candidates.pausing += pauses ? 1 : 0;
         if (!view.excluded && view.healthState != HealthState::Ejected) {
-            (view.local ? room.localSlots : room.remoteSlots) += view.slots;
+            (view.local ? candidates.capacity.localSlots : candidates.capacity.remoteSlots) += view.slots;
         }
     }
-    return views;
+    return candidates;
 }
 
 bool passRateLimiters(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const UpstreamSnapshot &upstream, const SelectionQuery &query,
@@ -99,20 +113,23 @@
 }
 
 /// See Selection::admissionInMs.
-std::int64_t timeUntilAdmission(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const std::vector<UpstreamView> &views, std::int64_t nowMs)
+std::int64_t timeUntilAdmission(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const SelectionQuery &query)
 {
     std::optional<std::int64_t> earliest;
-    for (std::size_t i = 0; i < views.size(); ++i) {
-        if (views[i].excluded || views[i].healthState == HealthState::Ejected) {
+    for (const UpstreamSnapshot &upstream : service.upstreams) {
+        const std::int64_t pauseLeft = upstream.record->requestedPause().remainingMs(query.nowMs);
+        // After its pause, an upstream that turned this request away may take the caller's next one.
+        const bool isOut = upstream.record->isEjectedAt(query.nowMs) || (pauseLeft == 0 && wasAttempted(query, upstream));
+        if (isOut || isUnavailable(snapshot, service, upstream, query)) {
             continue;
         }
-        const UpstreamSnapshot &upstream = service.upstreams[i];
         const AnnouncedLimit &limit = upstream.record->announcedLimit();
         const auto rate = limit.requestsPerSecond();
-        if (!rate) {
+        const std::int64_t limitWait = rate ? limit.timeUntilAdmission(ownLimitShare(snapshot, upstream, *rate), query.nowMs) : 0;
+        const std::int64_t wait = std::max(limitWait, pauseLeft);
+        if (wait == 0) {
             return 0;
         }
-        const std::int64_t wait = limit.timeUntilAdmission(ownLimitShare(snapshot, upstream, *rate), nowMs);
         earliest = std::min(wait, earliest.value_or(wait));
     }
     return earliest.value_or(0);
@@ -154,16 +171,16 @@
 Selection selectUpstream(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const SelectionQuery &query, const SelectorLimits &bounds,
     RegionShiftLimiter &regionShiftLimiter)
 {
-    RegionCapacity room;
-    std::vector<UpstreamView> views = viewsOf(snapshot, service, query, room);
+    auto [views, capacity, pausing] = findCandidates(snapshot, service, query);
     ChoiceQuery choice;
     choice.keyHash = query.keyHash;
     const double share = service.record->localShare.load(std::memory_order_relaxed);
-    choice.localPreference = share < 0 ? 1 : localPreference(share, room);
+    choice.localPreference = share < 0 ? 1 : localPreference(share, capacity);
     choice.hardLimit = loadLimit(*query.route, *service.record);
     const std::vector<std::size_t> order = rankUpstreams(views, choice);
     if (order.empty()) {
-        return {};
+        const std::int64_t admissionInMs = pausing > 0 ? timeUntilAdmission(snapshot, service, query) : 0;
+        return {admissionInMs > 0 ? SelectionOutcome::AllOverloaded : SelectionOutcome::NoUpstream, nullptr, 0, 0, pausing, admissionInMs};
     }
     const std::size_t preferredRegion = service.upstreams[order.front()].regionIndex;
     int heldBack = 0;
@@ -181,11 +198,11 @@
     const auto loadOf = [&](std::size_t index) { return estimatedLoad(service, service.upstreams[index], query.nowMs); };
     const auto chosen = chooseUpstream(views, order, choice, loadOf, mayUse);
     if (!chosen) {
-        return {SelectionOutcome::AllOverloaded, nullptr, leastLoadPerSlot(views), heldBack, timeUntilAdmission(snapshot, service, views, query.nowMs)};
+        return {SelectionOutcome::AllOverloaded, nullptr, leastLoadPerSlot(views), heldBack, pausing, timeUntilAdmission(snapshot, service, query)};
     }
     const UpstreamSnapshot &upstream = service.upstreams[*chosen];
     regionShiftLimiter.count(upstream.regionIndex, query.nowMs);
-    return {SelectionOutcome::Selected, &upstream, views[*chosen].load / views[*chosen].slots, heldBack};
+    return {SelectionOutcome::Selected, &upstream, views[*chosen].load / views[*chosen].slots, heldBack, pausing};
 }
 
 } // namespace Wasabistair::Steering
--- a/src/libs/steering/upstreamselector.h
+++ b/src/libs/steering/upstreamselector.h
@@ -39,7 +39,9 @@
     double loadPerSlot = 0;
     /// How often the limit that an upstream states kept this request from it.
     int heldBack = 0;
-    /// Time in ms until the first upstream's stated limit admits a request, if all upstreams that take requests have one; else 0.
+    /// Number of upstreams that were left out because they asked for a pause.
+    int pausing = 0;
+    /// Time in ms until the first upstream admits a request, if all upstreams that take requests state a limit or asked for a pause; else 0.
     std::int64_t admissionInMs = 0;
 
     bool operator==(const Selection &) const = default;
--- a/src/libs/upstreams/upstreamcall.cpp
+++ b/src/libs/upstreams/upstreamcall.cpp
@@ -76,6 +76,8 @@
         return "no-memory";
     case CallOutcome::CallerDisconnected:
         return "caller-gone";
+    case CallOutcome::Withdrawn:
+        return "withdrawn";
     }
     return "unknown";
 }
@@ -96,10 +98,15 @@
     if (result.end != CallOutcome::Answered) {
         return result;
     }
+    if (!request.maySend()) {
+        result.end = CallOutcome::Withdrawn;
+        return result;
+    }
     const std::string text = requestText(upstream, request);
     unsent_ = text;
     result.end = readAnswer(request, result.answer);
     result.answerStarted = answerStarted_;
+    result.interimStatesLeaving = interimStatesLeaving_;
     if (result.end == CallOutcome::Answered && reusable_ && unsent_.empty() && stream_->input().empty()) {
         pool_.put(upstream.id, std::move(stream_), keepAliveMs_);
     }
@@ -171,6 +178,7 @@
         if (response.getStatus() >= Poco::Net::HTTPResponse::HTTP_OK) {
             return CallOutcome::Answered;
         }
+        interimStatesLeaving_ = interimStatesLeaving_ || Adapter::statesLeaving(response);
         ++interim;
     }
     return CallOutcome::Broken;
@@ -223,11 +231,11 @@
         if (!frame) {
             return CallOutcome::Broken;
         }
+        answer.metadata = Adapter::decodeAnswerMetadata(response);
         answer.body.clear();
         if (const CallOutcome end = readBody(*frame, answer); end != CallOutcome::Answered) {
             return end;
         }
-        answer.metadata = Adapter::decodeAnswerMetadata(response);
         const bool endsWithConnection = frame->framing == Http::Framing::UntilClose;
         if (answer.metadata.requestId != request.requestId) {
             // Upstreams repeat the request's id, so an answer without one can't be attributed to any request.
--- a/src/libs/upstreams/upstreamcall.h
+++ b/src/libs/upstreams/upstreamcall.h
@@ -8,6 +8,7 @@
 #include <steering/routingsnapshot.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -19,6 +20,8 @@
     const std::string &body;
     const std::string &requestId;
     bool idempotent = false;
+    /// Asked immediately before the first byte is sent; if it returns false, nothing is sent.
+    std::function<bool()> maySend;
 };
 
 /// A complete answer of an upstream.
@@ -50,14 +53,18 @@
     NoMemory,
     /// The caller closed its connection.
     CallerDisconnected,
+    /// ForwardedRequest::maySend forbade it; nothing was sent.
+    Withdrawn,
 };
 
 [[nodiscard]] std::string_view toString(CallOutcome end);
 
 struct CallResult {
     CallOutcome end = CallOutcome::Broken;
-    /// Set when end is Answered.
+    /// Complete when end is Answered. Otherwise its metadata may still tell what a head stated whose body broke off.
     UpstreamAnswer answer;
+    /// Whether an interim answer (1xx) stated that the upstream leaves.
+    bool interimStatesLeaving = false;
     bool reusedConnection = false;
     /// Whether any bytes of an answer arrived.
     bool answerStarted = false;
@@ -95,6 +102,7 @@
     Base::MonotonicMs deadline_ = 0;
     bool reusable_ = false;
     bool answerStarted_ = false;
+    bool interimStatesLeaving_ = false;
     std::int64_t keepAliveMs_ = 0;
 };
 
--- a/tests/auto/adapter/tst_messages.cpp
+++ b/tests/auto/adapter/tst_messages.cpp
@@ -84,3 +84,49 @@
         CHECK((limitOf({"3", malformed}) == Steering::LimitStatement{std::nullopt, true}));
     }
 }
+
+TEST_CASE("answerMetadata_asksForAPause_isReadFromRejectionsOnly")
+{
+    const auto pauseOf = [](const std::vector<std::string> &values, const char *status = "503") {
+        Poco::Net::HTTPResponse response;
+        response.setStatus(status);
+        for (const std::string &value : values) {
+            response.add("Retry-After", value);
+        }
+        return decodeAnswerMetadata(response).requestedPauseMs;
+    };
+    CHECK_FALSE(pauseOf({}));
+    CHECK(pauseOf({"2"}) == 2'000);
+    CHECK(pauseOf({"0.25"}) == 250);
+    CHECK(pauseOf({"0"}) == 0);
+    CHECK(pauseOf({"1", "3", "2"}) == 3'000);
+    CHECK(pauseOf({"1", "soon"}) == 1'000);
+    for (const char *excessive : {"301", "86401", "100000000000000000000000000"}) {
+        CHECK(pauseOf({excessive}) == Steering::maxRequestedPauseMs);
+    }
+    for (const char *malformed : {"", "-1", "nan", "inf", "1e3", "2 s", "1,5", "Sat, 05 Dec 2026 08:00:00 GMT"}) {
+        CAPTURE(malformed);
+        CHECK_FALSE(pauseOf({malformed}));
+    }
+    for (const char *status : {"200", "429", "500", "421"}) {
+        CHECK_FALSE(pauseOf({"2"}, status));
+    }
+}
+
+TEST_CASE("answerMetadata_statesLeaving_onlyTheStatedValueCounts")
+{
+    const auto leaves = [](const std::vector<std::string> &values) {
+        Poco::Net::HTTPResponse response;
+        for (const std::string &value : values) {
+            response.add("Server-Leaving", value);
+        }
+        return decodeAnswerMetadata(response).statesLeaving;
+    };
+    CHECK_FALSE(leaves({}));
+    CHECK(leaves({"1"}));
+    CHECK(leaves({"0", "1"}));
+    for (const char *other : {"", "0", "-1", "2", "yes", "1.0", "1 1", "Sat, 05 Dec 2026 08:00:00 GMT"}) {
+        CAPTURE(other);
+        CHECK_FALSE(leaves({other}));
+    }
+}
--- a/tests/auto/entry/entryfixture.cpp
+++ b/tests/auto/entry/entryfixture.cpp
@@ -12,6 +12,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -113,7 +114,12 @@
     file << StandIns::entrySettings(
         {"vm-1", "a", {{"a", "north"}, {"b", "south"}}, callerPort, readyPort, lookupPort, StandIns::freePort(), StandIns::freePort(), store.port()});
     file.close();
-    ::setenv("WASABISTAIR_SETTINGS", path.c_str(), 1);
+    startProcess();
+}
+
+void EntryFixture::startProcess()
+{
+    ::setenv("WASABISTAIR_SETTINGS", (directory + "/settings.toml").c_str(), 1);
     vm = std::make_unique<StandIns::ChildProcess>("wasabistaird", std::vector<std::string>{"entry"}, logFile.empty() ? keptLogPath() : logFile);
 }
 
@@ -123,9 +129,17 @@
     store.put("servers", "u-2", StandIns::upstreamObject(second.port(), "b", "ready"));
 }
 
+void EntryFixture::killAndRestartVm()
+{
+    vm->signal(SIGKILL);
+    vm.reset();
+    startProcess();
+    REQUIRE(eventually([this] { return readiness() == 200; }));
+}
+
 CallerAnswer EntryFixture::send(const std::string &method, const std::string &path, const std::string &body, const std::string &headers) const
 {
-    static int number = 0;
+    static std::atomic<int> number{0};
     const std::string id = "request-" + std::to_string(++number);
     std::string text = method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nX-Request-Id: " + id + "\r\n" + headers;
     if (!body.empty()) {
--- a/tests/auto/entry/entryfixture.h
+++ b/tests/auto/entry/entryfixture.h
@@ -32,13 +32,15 @@
     using Answer = StandIns::ScriptedAnswer;
     using Request = StandIns::ReceivedRequest;
 
-    /// Sends a request on a new connection and reads its answer.
+    /// Sends a request on a new connection and reads its answer. May be called from several threads.
     [[nodiscard]] CallerAnswer send(const std::string &method, const std::string &path, const std::string &body = "", const std::string &headers = "") const;
     [[nodiscard]] CallerAnswer get(const std::string &path) const;
     /// Sends @p bytes unchanged, ends the sending side of the connection, and returns everything received.
     [[nodiscard]] std::string sendRaw(const std::string &bytes) const;
     [[nodiscard]] int readiness() const;
     [[nodiscard]] CallerAnswer lookup() const;
+    /// Ends the VM's process with SIGKILL and starts it again on the same ports; waits until it is ready.
+    void killAndRestartVm();
     /// Registers both upstreams, the first with @p firstState.
     void registerUpstreams(const std::string &firstState = "ready");
     /// Waits until @p condition holds; false after five seconds.
@@ -62,6 +64,7 @@
 
 private:
     void startVm();
+    void startProcess();
     [[nodiscard]] nlohmann::json manifest(int version) const;
 };
 
--- a/tests/auto/operators/tst_logs.cpp
+++ b/tests/auto/operators/tst_logs.cpp
@@ -195,6 +195,13 @@
         end("a", 5'000, "end=no-room status=503 upstream=\"\" outcome=none loadPercent=53");
         CHECK((explanation().cause == RequestCause::KeyUpstreamsUnavailable));
     }
+    SUBCASE("free capacity at upstreams that asked for a pause or state a limit")
+    {
+        write("a", 4'000, "event=upstream-pause upstream=u-9 service=catalogue pauseMs=2000");
+        end("a", 5'000, "end=no-room status=503 upstream=\"\" outcome=none loadPercent=53 heldBack=0 pausing=2 service=catalogue");
+        CHECK((explanation().cause == RequestCause::UpstreamsHoldBack));
+        CHECK(explanation().related.size() == 1);
+    }
 }
 
 TEST_CASE_FIXTURE(LogFixture, "callerDisconnects_atItsDeadlineOrEarlier_causeIsUpstreamOrCaller")
