--- a/tests/auto/soak/tst_soak.cpp
+++ b/tests/auto/soak/tst_soak.cpp
@@ -38,7 +38,7 @@
     }
 
     SoakRun record;
-    std::vector<UpstreamExecutions> executions{{"a", {}}};
+    std::vector<UpstreamExecutions> executions{{"a", {}, {}}};
 };
 
 } // namespace
@@ -129,3 +129,64 @@
     executions[0].executions = {{"r1", "u", start + 6'000}};
     CHECK(findings(true) == 0);
 }
+
+TEST_CASE_FIXTURE(CheckRunFixture, "checkRun_leavingUpstreamGetsRequestsLate_isFoundUnlessTheVmWasDisturbed")
+{
+    const auto arrive = [this](const std::string &id, std::int64_t sentMs, bool leaving) {
+        CallerView &view = request(id, 200);
+        view.sentMs = sentMs;
+        view.answeredMs = sentMs + 30;
+        executions[0].arrivals.push_back({id, "u", sentMs + 5, {leaving, 0, 0}});
+        executions[0].executions.push_back({id, "u", sentMs + 5});
+    };
+    arrive("r1", start, true);
+    arrive("r2", start + 2'400, true);
+    CHECK(findings(true) == 0);
+    arrive("r3", start + 2'600, true);
+    CHECK(findings(true) == 1);
+    CHECK(findings(false) == 0);
+    record.plan = {{FaultKind::StoreSilent, 0, 5'000, 0}};
+    CHECK(findings(true) == 1);
+    record.plan = {{FaultKind::VmPaused, 1'000, 300, 0}};
+    CHECK(findings(true) == 0);
+}
+
+TEST_CASE_FIXTURE(CheckRunFixture, "checkRun_pausingUpstreamGetsMoreThanTwo_isFound")
+{
+    const auto arrive = [this](const std::string &id, std::int64_t atMs, std::int64_t pauseMs) {
+        request(id, pauseMs > 0 ? 503 : 200);
+        executions[0].arrivals.push_back({id, "u", atMs, {false, pauseMs, 0}});
+        if (pauseMs == 0) {
+            executions[0].executions.push_back({id, "u", atMs});
+        }
+    };
+    arrive("r0", start, 1'500);
+    arrive("r1", start + 400, 0);
+    arrive("r2", start + 600, 0);
+    arrive("r3", start + 700, 0);
+    arrive("r4", start + 1'600, 0);
+    CHECK(findings(true) == 0);
+    arrive("r5", start + 800, 0);
+    CHECK(findings(true) == 1);
+}
+
+TEST_CASE_FIXTURE(CheckRunFixture, "checkRun_upstreamGetsMoreThanItsLimitTolerates_isFound")
+{
+    // A limit of 1 a second tolerates 11 in 4 s.
+    const auto play = [this](std::int64_t intervalMs) {
+        record.callers.back().clear();
+        executions[0] = {"a", {}, {}};
+        int number = 0;
+        for (std::int64_t at = start; at < start + 12'000; at += intervalMs) {
+            const std::string id = "r" + std::to_string(++number);
+            CallerView &view = request(id, 200);
+            view.sentMs = at;
+            view.answeredMs = at + 30;
+            executions[0].arrivals.push_back({id, "u", at, {false, 0, 1}});
+            executions[0].executions.push_back({id, "u", at});
+        }
+        return findings(true);
+    };
+    CHECK(play(400) == 0);
+    CHECK(play(300) == 1);
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -52,7 +52,9 @@
     request.bodyBytes = unsafe ? 300 : 0;
     request.headers = {{"X-Affinity-Key", "key-" + std::to_string(number % 40)}, {"X-Deadline-Ms", "2000"}};
     view.startsBefore = fleet.starts(vm);
+    view.sentMs = nowMs();
     view.record = client.call(request);
+    view.answeredMs = nowMs();
     view.startsAfter = fleet.starts(vm);
     return view;
 }
@@ -152,7 +154,7 @@
     record.drainPeriods = fleet.drainPeriods();
     std::vector<UpstreamExecutions> executions;
     for (const auto &upstream : fleet.upstreams()) {
-        executions.push_back({upstream->zone(), upstream->executions()});
+        executions.push_back({upstream->zone(), upstream->executions(), upstream->arrivals()});
     }
     const auto violations = checkRun(record, executions, bounds);
     findings.insert(findings.end(), violations.begin(), violations.end());
--- a/tests/soak/soakchecks.cpp
+++ b/tests/soak/soakchecks.cpp
@@ -1,5 +1,7 @@
 #include "soakchecks.h"
 
+#include "soakstatements.h"
+
 #include <standins/oracle.h>
 
 #include <algorithm>
@@ -140,6 +142,7 @@
     checkManifestVersions(record, findings);
     if (bounds) {
         checkDrains(record, upstreams, findings);
+        checkStatements(record, upstreams, findings);
     }
     return findings;
 }
--- a/tests/soak/soakchecks.h
+++ b/tests/soak/soakchecks.h
@@ -17,14 +17,18 @@
     /// Number of process starts of the VM before and after the request. If they differ, the process that served it is unknown.
     int startsBefore = 0;
     int startsAfter = 0;
+    /// Monotonic times.
+    std::int64_t sentMs = 0;
+    std::int64_t answeredMs = 0;
     /// Manifest version that introduced the requested route; 0 for a route that every version has.
     int version = 0;
 };
 
-/// Requests that one upstream executed.
+/// Requests that one upstream received and executed.
 struct UpstreamExecutions {
     std::string zone;
     std::vector<Execution> executions;
+    std::vector<Arrival> arrivals;
 
     bool operator==(const UpstreamExecutions &) const = default;
 };
@@ -41,7 +45,8 @@
 
 /// Returns the violations found, one line each. Always checked: requests execute at most once and never after a rejection before
 /// execution, answers are complete and belong to their request, and a VM never returns to an older manifest. With @p bounds also:
-/// draining upstreams and evacuated zones get no requests after their time bound. Requests from VMs, or over network paths, that a
+/// draining upstreams and evacuated zones get no requests after their time bound, and what upstreams state in their answers is kept
+/// (checkStatements()). Requests from VMs, or over network paths, that a
 /// fault disturbed are exempt from the bounds.
 [[nodiscard]] std::vector<std::string> checkRun(const SoakRun &record, const std::vector<UpstreamExecutions> &upstreams, bool bounds);
 
--- a/tests/soak/soakfleet.cpp
+++ b/tests/soak/soakfleet.cpp
@@ -102,6 +102,7 @@
     SoakUpstream &upstream = *upstreams_.at(static_cast<std::size_t>(index));
     const std::string before = upstream.name();
     store_.remove("servers", before);
+    upstream.leaving = false;
     upstream.rename("u-" + std::to_string(index) + "." + std::to_string(++incarnations_.at(static_cast<std::size_t>(index))));
     registerUpstream(upstream, "ready");
 }
@@ -248,12 +249,16 @@
         break;
     case FaultKind::UpstreamDrains:
         if (begins) {
+            upstream.leaving = true;
             registerUpstream(upstream, "draining");
             recordDrain(upstream);
         } else {
             replaceUpstream(fault.target);
         }
         break;
+    case FaultKind::UpstreamLimits:
+        upstream.limitFaults += change;
+        break;
     case FaultKind::UpstreamReplaced:
         if (begins) {
             recordDrain(upstream);
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -15,6 +15,9 @@
 // Drains and evacuations last longer than their time bound, so that requests after the bound are detected.
 constexpr std::int64_t minDrainMs = 5'500;
 constexpr std::int64_t maxDrainMs = 9'000;
+// Limits are checked in spans of 4 s that begin 4 s after the first statement.
+constexpr std::int64_t minLimitMs = 8'500;
+constexpr std::int64_t maxLimitMs = 12'000;
 constexpr int zoneCount = 2;
 // One in seriesOneIn draws yields a series of the same fault on consecutive targets.
 constexpr int seriesOneIn = 5;
@@ -72,7 +75,7 @@
 {
     static constexpr std::array<std::string_view, faultKindCount> names = {"store-silent", "upstream-silent", "store-cut", "upstream-cut", "store-delayed",
         "upstream-delayed", "store-busy", "store-loses-answers", "store-forgets", "upstream-spoils", "upstream-fails", "upstream-sheds", "upstream-drains",
-        "upstream-replaced", "zone-evacuated", "manifest-grows", "vm-paused", "vm-killed", "vm-stopped", "vm-reloaded"};
+        "upstream-replaced", "upstream-limits", "zone-evacuated", "manifest-grows", "vm-paused", "vm-killed", "vm-stopped", "vm-reloaded"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -88,8 +91,9 @@
         const std::int64_t at = randomBelow(faultPhaseMs);
         const std::int64_t first = randomBelow(targetCount(kind, size));
         for (std::int64_t index = 0; index < seriesLength; ++index) {
-            const std::int64_t shortest = isDrain(kind) ? minDrainMs : minFaultMs;
-            const std::int64_t longest = isDrain(kind) ? maxDrainMs : maxFaultMs;
+            const bool limits = kind == FaultKind::UpstreamLimits;
+            const std::int64_t shortest = limits ? minLimitMs : isDrain(kind) ? minDrainMs : minFaultMs;
+            const std::int64_t longest = limits ? maxLimitMs : isDrain(kind) ? maxDrainMs : maxFaultMs;
             Fault fault{
                 kind, at + index * seriesGapMs, shortest + randomBelow(longest - shortest), static_cast<int>((first + index) % targetCount(kind, size))};
             fault.durationMs = std::min(fault.durationMs, faultPhaseMs - fault.atMs);
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -21,12 +21,14 @@
     StoreBusy,
     StoreLosesAnswers,
     StoreForgets,
-    /// Faults and state changes of one upstream: truncates answers, answers 500, sheds load, drains, or is replaced under the same address.
+    /// Faults and state changes of one upstream: truncates answers, answers 500, sheds load and asks for a pause, drains and says so in its
+    /// answers, is replaced under the same address, or states a limit.
     UpstreamSpoils,
     UpstreamFails,
     UpstreamSheds,
     UpstreamDrains,
     UpstreamReplaced,
+    UpstreamLimits,
     /// The evacuation of one zone, and the publication of a manifest with one more route.
     ZoneEvacuated,
     ManifestGrows,
@@ -37,7 +39,7 @@
     VmReloaded,
 };
 
-constexpr int faultKindCount = 20;
+constexpr int faultKindCount = 21;
 [[nodiscard]] std::string_view toString(FaultKind kind);
 
 /// The component that a fault affects.
