--- a/tests/auto/adapter/tst_platformfeed.cpp
+++ b/tests/auto/adapter/tst_platformfeed.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <limits>
 #include <thread>
 
@@ -18,11 +19,11 @@
 
 /// A feed that reads a store stand-in; counts the routing snapshots that it publishes.
 struct FeedFixture {
-    FeedFixture()
+    /// @p runningMs: for how long the VM has been running.
+    explicit FeedFixture(std::int64_t runningMs = 0)
+        : revisions(clock.monotonic() - runningMs)
     {
-        Json routes = Json::object();
-        routes["r"] = StandIns::routeObject("/r/", "safe", 1'000, 2);
-        store.put("config", "main", StandIns::manifestObject(1, routes));
+        putManifest(1);
         settings.locality = {"vm-1", "north-a", "north", {{"north-a", "north"}}};
         settings.storeAddress = {"127.0.0.1", store.port()};
         feed = std::make_unique<PlatformFeed>(settings, clock, counters, revisions,
@@ -63,13 +64,37 @@
         return false;
     }
 
+    [[nodiscard]] std::uint64_t version() const
+    {
+        const std::lock_guard lock(mutex);
+        return current && current->manifest ? current->manifest->version : 0;
+    }
+
+    [[nodiscard]] static bool eventually(int withinMs, const std::function<bool()> &condition)
+    {
+        for (int waited = 0; waited < withinMs; waited += 10) {
+            if (condition()) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return false;
+    }
+
+    void putManifest(int version)
+    {
+        Json routes = Json::object();
+        routes["r"] = StandIns::routeObject("/r/", "safe", 1'000, 2);
+        store.put("config", "main", StandIns::manifestObject(version, routes));
+    }
+
     using Json = nlohmann::json;
 
     StandIns::FakeObjectStore store;
     VmSettings settings;
     Base::SystemClock clock;
     StoreCallCounters counters;
-    Nodes::RevisionTracker revisions{clock.monotonic()};
+    Nodes::RevisionTracker revisions;
     mutable std::mutex mutex;
     int published = 0;
     /// Smallest fleet size of any routing snapshot.
@@ -80,6 +105,13 @@
     std::unique_ptr<PlatformFeed> feed;
 };
 
+/// A VM that hears no reader and has run long enough to read the latest state itself.
+struct ReaderFixture: FeedFixture {
+    ReaderFixture()
+        : FeedFixture(60'000)
+    {}
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(FeedFixture, "feed_hundredsOfUpstreamsJoinAtOnce_buildsARosterForEachBatchOnly")
@@ -140,3 +172,26 @@
     const std::lock_guard lock(mutex);
     CHECK(firstVersion == 2);
 }
+
+TEST_CASE_FIXTURE(ReaderFixture, "feed_watchesAreSentWhileTheStoreIsSilent_laterChangesAreInForceWithinTheBound")
+{
+    // Guards against a VM that answers by an older manifest, and uses an upstream that has left, for 13 s after a silence of the store: the
+    // store had dropped its watches, which look like those of a quiet store. No peer helps, since all VMs lose their watches alike.
+    constexpr int boundMs = 2'000;
+    store.put("servers", "u-1", StandIns::upstreamObject(80, "north-a", "ready"));
+    feed->start();
+    REQUIRE(waitForUpstreams(1));
+    REQUIRE(eventually(2'000, [this] { return version() == 1; }));
+    store.setSilent(true);
+    // The watches that wait return with these changes; the next ones are dropped.
+    putManifest(2);
+    store.put("servers", "u-2", StandIns::upstreamObject(81, "north-a", "ready"));
+    store.put("evacuations", "north-b", Json::object());
+    REQUIRE(eventually(2'000, [this] { return version() == 2 && upstreams() == 2; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    store.setSilent(false);
+    putManifest(3);
+    store.remove("servers", "u-1");
+    CHECK(eventually(boundMs, [this] { return version() == 3; }));
+    CHECK(eventually(boundMs, [this] { return upstreams() == 1; }));
+}
--- a/tests/standins/fakeobjectstore.cpp
+++ b/tests/standins/fakeobjectstore.cpp
@@ -19,6 +19,8 @@
 
 // Each watch of each VM occupies a thread while it waits. Large soak runs have several hundred.
 constexpr int maxThreads = 512;
+// How long the connection of a dropped call stays open: longer than any client waits.
+constexpr int droppedCallMs = 40'000;
 constexpr int pollMs = 20;
 
 void answer(HTTPServerResponse &response, int status, const Json &body)
@@ -101,6 +103,12 @@
     changed_.notify_all();
 }
 
+void FakeObjectStore::setSilent(bool silent)
+{
+    const std::lock_guard lock(mutex_);
+    silent_ = silent;
+}
+
 void FakeObjectStore::holdBackWatchEvents()
 {
     const std::lock_guard lock(mutex_);
@@ -182,8 +190,22 @@
         {"spec", object.spec}, {"status", nullptr}};
 }
 
+bool FakeObjectStore::dropIfSilent()
+{
+    std::unique_lock lock(mutex_);
+    const bool drops = silent_;
+    if (drops) {
+        changed_.wait_for(lock, std::chrono::milliseconds(droppedCallMs), [this] { return stopping_; });
+    }
+    return drops;
+}
+
 void FakeObjectStore::handle(HTTPServerRequest &request, HTTPServerResponse &response)
 {
+    if (dropIfSilent()) {
+        closeConnection(request);
+        return;
+    }
     const Poco::URI uri(request.getURI());
     std::vector<std::string> segments;
     uri.getPathSegments(segments);
--- a/tests/standins/fakeobjectstore.h
+++ b/tests/standins/fakeobjectstore.h
@@ -37,6 +37,8 @@
     void remove(const std::string &kind, const std::string &name);
     /// Also closes the connections of waiting watches.
     void setFaults(const Faults &faults);
+    /// While silent, the store drops every call that reaches it, for ever. Watches that it received before are answered.
+    void setSilent(bool silent);
     /// Withholds changes from watches until releaseWatchEvents() or compactHistory().
     void holdBackWatchEvents();
     void releaseWatchEvents();
@@ -72,6 +74,8 @@
         bool skipped = false;
     };
 
+    /// Drops the call if the store is silent: returns true when the connection is to be closed.
+    [[nodiscard]] bool dropIfSilent();
     void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     /// Objects of a kind that a call returns; @p stale if the call allows stale answers.
     [[nodiscard]] const std::map<std::string, Object> &objectsOf(const std::string &kind, bool stale);
@@ -88,6 +92,7 @@
     std::condition_variable changed_;
     Faults faults_;
     bool stopping_ = false;
+    bool silent_ = false;
     bool watchEventsHeld_ = false;
     bool watchEventsSkipped_ = false;
     /// Kind whose lists are not answered; empty for none.
