Test of a silent store waits until the watches wait at the store

Seen: feed_watchesAreSentWhileTheStoreIsSilent_* failed in 2 of 12 runs beside load, at its precondition (version 2 before the silence is judged). Trace: the stand-in fell silent before one of the first watches had reached it, so that watch was dropped and could not return with the change. Change: the test waits until a watch of each kind waits; checks and bounds are the same.

--- a/tests/auto/adapter/tst_platformfeed.cpp
+++ b/tests/auto/adapter/tst_platformfeed.cpp
@@ -181,7 +181,8 @@
     store.put("servers", "u-1", StandIns::upstreamObject(80, "north-a", "ready"));
     feed->start();
     REQUIRE(waitForUpstreams(1));
-    REQUIRE(eventually(2'000, [this] { return version() == 1; }));
+    REQUIRE(eventually(2'000,
+        [this] { return version() == 1 && store.hasWaitingWatch("config") && store.hasWaitingWatch("servers") && store.hasWaitingWatch("evacuations"); }));
     store.setSilent(true);
     // The watches that wait return with these changes; the next ones are dropped.
     putManifest(2);
--- a/tests/standins/fakeobjectstore.cpp
+++ b/tests/standins/fakeobjectstore.cpp
@@ -172,6 +172,13 @@
     return found == listCalls_.end() ? 0 : found->second;
 }
 
+bool FakeObjectStore::hasWaitingWatch(const std::string &kind) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = waitingWatches_.find(kind);
+    return found != waitingWatches_.end() && found->second > 0;
+}
+
 std::uint64_t FakeObjectStore::revision() const
 {
     const std::lock_guard lock(mutex_);
@@ -286,7 +293,9 @@
                 {{"events", events}, {"as-of", stale && staleObjects_ ? staleRevision_ : revision_}});
             return;
         }
+        ++waitingWatches_[kind];
         changed_.wait_for(lock, std::chrono::milliseconds(pollMs));
+        --waitingWatches_[kind];
     }
     answer(response, HTTPResponse::HTTP_OK, {{"events", Json::array()}, {"as-of", watchEventsHeld_ || (stale && staleObjects_) ? since : revision_}});
 }
--- a/tests/standins/fakeobjectstore.h
+++ b/tests/standins/fakeobjectstore.h
@@ -54,6 +54,8 @@
     void compactHistory();
     [[nodiscard]] bool contains(const std::string &kind, const std::string &name) const;
     [[nodiscard]] int listCalls(const std::string &kind) const;
+    /// Whether a watch of @p kind waits for a change.
+    [[nodiscard]] bool hasWaitingWatch(const std::string &kind) const;
     /// Revision of the last change.
     [[nodiscard]] std::uint64_t revision() const;
     /// Number of calls of any kind without serializable=1, which ask for the latest state. A watch counts as one call.
@@ -104,6 +106,8 @@
     std::uint64_t watchResets_ = 0;
     std::map<std::string, std::map<std::string, Object>> objects_;
     std::map<std::string, int> listCalls_;
+    /// Number of waiting watches of each kind.
+    std::map<std::string, int> waitingWatches_;
     int latestCalls_ = 0;
     /// State that stale answers show; empty until freezeStaleReads().
     std::optional<std::map<std::string, std::map<std::string, Object>>> staleObjects_;
