--- a/review/common/platformstore.cpp
+++ b/review/common/platformstore.cpp
@@ -96,6 +96,20 @@
     return revision_;
 }
 
+void PlatformStore::setSilent(bool silent)
+{
+    const std::lock_guard lock(mutex_);
+    silent_ = silent;
+}
+
+bool PlatformStore::dropIfSilent()
+{
+    std::unique_lock lock(mutex_);
+    const bool dropped = silent_;
+    changed_.wait(lock, [&] { return !dropped || stopping_; });
+    return dropped;
+}
+
 PlatformStore::Answer PlatformStore::list(const std::string &kind, const std::string &after)
 {
     const std::lock_guard lock(mutex_);
@@ -179,6 +193,9 @@
     }
     std::string body;
     Poco::StreamCopier::copyToString(request.stream(), body);
+    if (dropIfSilent()) {
+        return;
+    }
     Answer answer{HTTPResponse::HTTP_NOT_FOUND, "{}"};
     if (segments.size() >= 2 && segments.front() == "objects") {
         const std::string name = segments.size() > 2 ? segments[2] : "";
--- a/review/common/platformstore.h
+++ b/review/common/platformstore.h
@@ -30,6 +30,8 @@
     /// writer takes for one. Returns the revision of the change; from this moment on it is acknowledged.
     std::uint64_t put(const std::string &kind, const std::string &name, const std::string &spec);
     void remove(const std::string &kind, const std::string &name);
+    /// While silent, the store answers no call that reaches it, for ever; the watches that wait already are served.
+    void setSilent(bool silent);
 
 private:
     struct Object {
@@ -49,6 +51,8 @@
         std::string body;
     };
 
+    /// Whether the call is dropped because the store is silent. Returns only when the store stops if it is.
+    [[nodiscard]] bool dropIfSilent();
     void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     Answer read(const std::string &kind, const std::string &name, const std::map<std::string, std::string> &query);
     Answer list(const std::string &kind, const std::string &after);
@@ -60,6 +64,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     bool stopping_ = false;
+    bool silent_ = false;
     std::uint64_t revision_ = 1;
     std::map<std::string, std::map<std::string, Object>> objects_;
     std::vector<Change> history_;
