--- a/src/libs/base/json.h
+++ b/src/libs/base/json.h
@@ -42,9 +42,44 @@
 };
 
 /// Splits a JSON object or array into the texts of its parts without parsing them, so that a part that can't be read doesn't affect the
-/// others. Returns nullopt if @p text is neither or ends early. The parts point into @p text.
+/// others. Returns nullopt if @p text is neither, ends early or has anything behind it. The parts point into @p text.
 [[nodiscard]] std::optional<std::vector<JsonPart>> splitJson(std::string_view text);
 
+/// The first members of an object of which the rest may be damaged.
+struct JsonPrefix {
+    std::vector<JsonPart> members;
+    /// The member at which reading stopped, with all text from the beginning of its value; without a key when there is none.
+    JsonPart rest;
+
+    auto operator<=>(const JsonPrefix &) const = default;
+};
+
+/// Splits off members of an object up to the first whose value doesn't end where one can, or up to the member @p stopAt.
+[[nodiscard]] JsonPrefix splitJsonPrefix(std::string_view text, std::string_view stopAt = {});
+
+/// Text of an element of a list.
+struct JsonElement {
+    std::string_view text;
+    /// Whether the text has brackets or quotes that don't match. Such an element can only be read up to there.
+    bool isDamaged = false;
+
+    auto operator<=>(const JsonElement &) const = default;
+};
+
+/// An object with a list of objects that different writers have written.
+struct JsonList {
+    /// The other members of the object.
+    std::vector<JsonPart> members;
+    std::vector<JsonElement> elements;
+
+    auto operator<=>(const JsonList &) const = default;
+};
+
+/// Splits the object @p text, of which the member @p key is a list of objects and all other members are scalars. An element with brackets or
+/// quotes that don't match doesn't affect the others: the next one begins where an object that has one of @p firstKeys as its first member
+/// follows another object. Takes time proportional to the size of @p text. Returns nullopt if the rest of the object can't be split.
+[[nodiscard]] std::optional<JsonList> splitJsonList(std::string_view text, std::string_view key, const std::vector<std::string_view> &firstKeys);
+
 /// Returns the text of the member @p key; empty when there is none. The last one counts if there are several, as in a parser.
 [[nodiscard]] std::string_view findMember(const std::vector<JsonPart> &members, std::string_view key);
 
--- a/src/libs/platform/httpobjectstore.cpp
+++ b/src/libs/platform/httpobjectstore.cpp
@@ -210,8 +210,7 @@
     if (answer.status == HTTPResponse::HTTP_NOT_MODIFIED) {
         return VmList{knownVersion, {}};
     }
-    const Json json = Base::readJson(answer.body).value;
-    auto list = vmListFromJson(json);
+    auto list = readVmList(answer.body);
     if (!list) {
         return Base::Leaf::new_error(PlatformError{PlatformFailure::MalformedAnswer, "vms"});
     }
--- a/src/libs/platform/vmlist.cpp
+++ b/src/libs/platform/vmlist.cpp
@@ -1,5 +1,8 @@
 #include "vmlist.h"
 
+#include <base/json.h>
+#include <base/log.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -82,6 +85,31 @@
     }
 }
 
+std::optional<VmList> readVmList(std::string_view text)
+{
+    const auto members = Base::splitJson(text);
+    const std::string_view entries = members ? Base::findMember(*members, "vms") : std::string_view();
+    const auto parts = entries.starts_with('[') ? Base::splitJson(entries) : std::nullopt;
+    const Base::JsonRead version = Base::readJson(members ? Base::findMember(*members, "version") : std::string_view());
+    if (!parts || !version.value.is_number_unsigned()) {
+        return std::nullopt;
+    }
+    VmList list{version.value.get<Version>(), {}};
+    std::size_t unreadable = 0;
+    for (const Base::JsonPart &part : *parts) {
+        try {
+            list.vms.push_back(vmFromJson(Base::readJson(part.value).value));
+        } catch (const Json::exception &) {
+            ++unreadable;
+        }
+    }
+    if (unreadable > 0) {
+        Base::log(Base::LogLevel::Warning, "vms-not-used", {{"listVersion", list.version}, {"vms", list.vms.size()}, {"unreadable", unreadable}});
+    }
+    std::sort(list.vms.begin(), list.vms.end());
+    return list;
+}
+
 ListDelta deltaBetween(const VmList &from, const VmList &to)
 {
     ListDelta delta{from.version, to.version, {}, {}};
--- a/src/libs/platform/vmlist.h
+++ b/src/libs/platform/vmlist.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Wasabistair::Platform {
@@ -15,6 +16,10 @@
 /// Returns the list ordered by id, or nothing if any part of @p json is malformed.
 [[nodiscard]] std::optional<VmList> vmListFromJson(const nlohmann::json &json);
 
+/// Reads the list in the platform's answer. VMs that can't be read are logged and left out, so that they don't hide the others. Returns nothing
+/// if @p text is no list or has no version.
+[[nodiscard]] std::optional<VmList> readVmList(std::string_view text);
+
 /// Changes between two versions of the list. A delta from noVersion contains the whole list.
 struct ListDelta {
     Version from = noVersion;
--- a/tests/auto/adapter/tst_foreignentries.cpp
+++ b/tests/auto/adapter/tst_foreignentries.cpp
@@ -49,6 +49,25 @@
     };
 }
 
+/// Entries with brackets or quotes that don't match, so that their end can't be found by counting.
+std::vector<ForeignEntry> unbalancedEntries()
+{
+    const std::string whole = sampleUpstream().dump();
+    return {
+        {"cut-in-object", whole.substr(0, whole.size() - 1)},
+        {"cut-in-text", R"({"address":"127.0.0.1:9","info":{"service":"svc","zone":"a)"},
+        {"bracket-too-many", whole + "}"},
+        {"brackets-too-many", whole + "]}]}"},
+        {"bracket-not-closed", R"({"address":[})"},
+        {"no-object", "v1]"},
+        {"text-not-closed", R"({"a":"x)"},
+        {"escape-at-the-end", R"({"a":"x\)"},
+        {"empty", ""},
+        {"opening", "[{[{"},
+        {"closing", "}]}]"},
+    };
+}
+
 struct ForeignEntryFixture {
     ForeignEntryFixture()
     {
@@ -67,6 +86,15 @@
         return names;
     }
 
+    [[nodiscard]] std::set<std::string> usableInList()
+    {
+        const auto list = tryStoreCall([&] { return client.list("servers"); });
+        REQUIRE(list);
+        CHECK(list.value->unnamed == 0);
+        CHECK(list.value->asOf == store.revision());
+        return usable(list.value->objects);
+    }
+
     /// The fault of an upstream's entry with @p spec; fails the test if it is decoded.
     static DecodingFault faultOf(const Json &spec, const std::string &name = "i-1")
     {
@@ -118,6 +146,72 @@
     }
 }
 
+TEST_CASE_FIXTURE(ForeignEntryFixture, "list_bracketsOfOneEntryDontMatch_othersAreUsable")
+{
+    // Guards against an entry that was cut short and hides the whole registry, since its end isn't found.
+    for (const ForeignEntry &entry : unbalancedEntries()) {
+        CAPTURE(entry.name);
+        for (const std::string name : {"0-" + entry.name, entry.name, "zz-" + entry.name}) {
+            store.putRaw("servers", name, entry.spec);
+            CHECK(usableInList() == std::set<std::string>{"a-first", "z-last"});
+            store.remove("servers", name);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(ForeignEntryFixture, "list_bracketsOfSeveralEntriesDontMatch_othersAreUsable")
+{
+    // Unmatched brackets of two entries can match each other, so that the entries between them seem to be a part of the first.
+    const std::vector<ForeignEntry> entries = unbalancedEntries();
+    for (const ForeignEntry &before : entries) {
+        for (const ForeignEntry &after : entries) {
+            CAPTURE(before.name);
+            CAPTURE(after.name);
+            store.putRaw("servers", "0-before", before.spec);
+            store.putRaw("servers", "b-after", after.spec);
+            CHECK(usableInList() == std::set<std::string>{"a-first", "z-last"});
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(ForeignEntryFixture, "watch_bracketsOfEntriesDontMatch_otherChangesAreReturned")
+{
+    for (const ForeignEntry &entry : unbalancedEntries()) {
+        CAPTURE(entry.name);
+        const std::uint64_t since = store.revision();
+        store.putRaw("servers", entry.name, entry.spec);
+        store.put("servers", "joined", sampleUpstream());
+        store.putRaw("servers", entry.name, entry.spec);
+        store.remove("servers", "z-last");
+        const auto events = tryStoreCall([&] { return client.watch("servers", since, 500); });
+        REQUIRE(events);
+        REQUIRE(events.value->events.size() == 4);
+        CHECK(events.value->asOf == store.revision());
+        for (std::size_t i = 0; i < 4; ++i) {
+            const ObjectEvent &event = events.value->events[i];
+            CHECK(event.object.name == (i == 1 ? "joined" : i == 3 ? "z-last" : entry.name));
+            CHECK(event.object.specFault.has_value() == (i % 2 == 0));
+            CHECK(event.removed == (i == 3));
+        }
+        store.put("servers", "z-last", sampleUpstream());
+        store.remove("servers", entry.name);
+        store.remove("servers", "joined");
+    }
+}
+
+TEST_CASE_FIXTURE(ForeignEntryFixture, "get_bracketsDontMatch_isReturnedAsUnreadable")
+{
+    for (const ForeignEntry &entry : unbalancedEntries()) {
+        CAPTURE(entry.name);
+        store.putRaw("servers", entry.name, entry.spec);
+        const auto object = tryStoreCall([&] { return client.get("servers", entry.name); });
+        REQUIRE(object);
+        CHECK(object.value->name == entry.name);
+        CHECK(object.value->revision == store.revision());
+        CHECK(object.value->specFault.has_value());
+    }
+}
+
 TEST_CASE_FIXTURE(ForeignEntryFixture, "list_manyPagesOfUnreadableEntries_isReadToItsEnd")
 {
     for (int i = 0; i < 8; ++i) {
--- a/tests/auto/base/tst_json.cpp
+++ b/tests/auto/base/tst_json.cpp
@@ -4,6 +4,7 @@
 
 #include <rapidcheck.h>
 
+#include <chrono>
 #include <string>
 
 using namespace Wasabistair::Base;
@@ -140,6 +141,90 @@
     }));
 }
 
+TEST_CASE("split_textHasAnythingBehindTheValue_isRejected")
+{
+    for (const char *text : {"{}}", "[]]", "{\"a\":1}}", "[1]]", "[1] x"}) {
+        CAPTURE(text);
+        CHECK_FALSE(splitJson(text));
+    }
+}
+
+TEST_CASE("prefix_laterMemberDoesntEnd_membersBeforeAreRead")
+{
+    const JsonPrefix prefix = splitJsonPrefix(R"( {"a":[1], "b":"x", "c":{"d":1)");
+    CHECK(prefix.members == std::vector<JsonPart>{{"a", "[1]"}, {"b", R"("x")"}});
+    CHECK(prefix.rest == JsonPart{"c", R"({"d":1)"});
+    CHECK((splitJsonPrefix(R"({"a":1,"b":[2],"c":3})", "b") == JsonPrefix{{{"a", "1"}}, {"b", R"([2],"c":3})"}}));
+    CHECK((splitJsonPrefix(R"({"a":1})") == JsonPrefix{{{"a", "1"}}, {}}));
+    for (const char *text : {"", "[1]", "{", "1", "{1}"}) {
+        CAPTURE(text);
+        CHECK((splitJsonPrefix(text) == JsonPrefix{}));
+    }
+}
+
+TEST_CASE("splitList_someElementsAreDamaged_allElementsAreFound")
+{
+    // Guards against an element with unmatched brackets or quotes that takes its neighbours along.
+    CHECK(rc::check([] {
+        const std::string damage = "[]{}\",\\ a";
+        std::vector<std::string> elements;
+        std::string list;
+        for (int i = *rc::gen::inRange<int>(0, 8); i > 0; --i) {
+            std::string value = randomValue(3).dump();
+            for (int changes = *rc::gen::inRange<int>(0, 3); changes > 0; --changes) {
+                const auto at = *rc::gen::inRange<std::size_t>(0, value.size() + 1);
+                const char character = damage.at(*rc::gen::inRange<std::size_t>(0, damage.size()));
+                value = *rc::gen::arbitrary<bool>() ? value.substr(0, at) : value.insert(at, 1, character);
+            }
+            elements.push_back(R"({"key":)" + std::to_string(i) + R"(,"value":)" + value + R"(,"last":null})");
+            list += (list.empty() ? "" : *rc::gen::element<std::string>(",", " , ", "\n,")) + elements.back();
+        }
+        const std::string text = R"({"as-of":7,"list":[)" + list + R"(],"more":false})";
+        const auto read = splitJsonList(text, "list", {"key"});
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(findMember(read->members, "as-of") == "7");
+        RC_ASSERT(findMember(read->members, "more") == "false");
+        RC_ASSERT(read->elements.size() == elements.size());
+        for (std::size_t i = 0; i < elements.size(); ++i) {
+            RC_ASSERT(read->elements[i].text == elements[i]);
+        }
+    }));
+}
+
+TEST_CASE("splitList_validElementHoldsTextLikeASeparator_staysWhole")
+{
+    const std::string nestedList = R"({"key":1,"copy":[{"key":2},{"key":3}]})";
+    const std::string damaged = R"({"key":4,"value":[})";
+    const std::string text = R"({"list":[)" + damaged + "," + nestedList + "," + damaged + "," + nestedList + "]}";
+    const auto read = splitJsonList(text, "list", {"key"});
+    REQUIRE(read);
+    CHECK(read->elements == std::vector<JsonElement>{{damaged, true}, {nestedList, false}, {damaged, true}, {nestedList, false}});
+}
+
+TEST_CASE("splitList_manyElementsAreDamaged_takesTimeProportionalToTheSize")
+{
+    std::string list;
+    for (int i = 0; i < 100'000; ++i) {
+        list += std::string(i == 0 ? "" : ",") + R"({"key":[})";
+    }
+    const auto begin = std::chrono::steady_clock::now();
+    const auto read = splitJsonList(R"({"list":[)" + list + "]}", "list", {"key"});
+    const auto took = std::chrono::steady_clock::now() - begin;
+    REQUIRE(read);
+    CHECK(read->elements.size() == 100'000);
+    // With a scan to the end of the list for each element, 1 MB would take minutes.
+    CHECK(took < std::chrono::seconds(2));
+}
+
+TEST_CASE("splitList_textIsNoObjectWithTheList_isRejected")
+{
+    for (const char *text : {"", "[]", "{}", R"({"list":1})", R"({"list":[})", R"({"list":[],"a"})", R"({"list":[]}})", R"({"other":[]})"}) {
+        CAPTURE(text);
+        CHECK_FALSE(splitJsonList(text, "list", {"key"}));
+    }
+    CHECK(splitJsonList(R"({"list":[ ]})", "list", {"key"})->elements.empty());
+}
+
 TEST_CASE("split_anyBytes_partsLieInTheText")
 {
     CHECK(rc::check([] {
@@ -155,5 +240,7 @@
             }
         }
         (void)readJson(text);
+        (void)splitJsonPrefix(text);
+        (void)splitJsonList("{\"a\":[" + text, "a", {"a"});
     }));
 }
--- a/tests/auto/platform/tst_vmlist.cpp
+++ b/tests/auto/platform/tst_vmlist.cpp
@@ -39,3 +39,22 @@
         RC_ASSERT(vmListFromJson(vmListToJson(to)) == to);
     }));
 }
+
+TEST_CASE("vmList_oneVmCantBeRead_othersAreReturned")
+{
+    // Guards against one VM's entry that hides the whole list.
+    const Steering::Vm vm{"vm1", Steering::VmKind::Entry, Steering::VmState::Live, "h", 1, 2, "r", "z", "", 0};
+    const std::string whole = vmListToJson({7, {vm}}).dump();
+    const std::string entry = whole.substr(whole.find('{', 1), whole.find('}') - whole.find('{', 1) + 1);
+    for (const char *odd : {"{}", "1", R"({"id":5})", R"({"id":"x","port":1e400})", "{\"id\":\"\xff\"}"}) {
+        CAPTURE(odd);
+        const auto list = readVmList(R"({"version":7,"vms":[)" + std::string(odd) + "," + entry + "]}");
+        REQUIRE(list);
+        CHECK(list == VmList{7, {vm}});
+    }
+    for (const char *text : {"", "[]", "{}", R"({"vms":[]})", R"({"version":7})", R"({"version":7,"vms":{}})", R"({"version":-1,"vms":[]})"}) {
+        CAPTURE(text);
+        CHECK_FALSE(readVmList(text));
+    }
+    CHECK(readVmList(R"({"version":7,"vms":[]})") == VmList{7, {}});
+}
