--- a/tests/auto/adapter/tst_foreignentries.cpp
+++ b/tests/auto/adapter/tst_foreignentries.cpp
@@ -151,7 +151,7 @@
     // Guards against an entry that was cut short and hides the whole registry, since its end isn't found.
     for (const ForeignEntry &entry : unbalancedEntries()) {
         CAPTURE(entry.name);
-        for (const std::string name : {"0-" + entry.name, entry.name, "zz-" + entry.name}) {
+        for (const std::string &name : {"0-" + entry.name, entry.name, "zz-" + entry.name}) {
             store.putRaw("servers", name, entry.spec);
             CHECK(usableInList() == std::set<std::string>{"a-first", "z-last"});
             store.remove("servers", name);
