--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -326,6 +326,8 @@
             writer->release();
         }
         slot_.release();
+        // A connection that was on its way from the queue to its thread wasn't counted before.
+        while (clock_.monotonic() < end && !callerServer_.waitUntilDrained(stopPollMs)) {}
         // Threads are not joined: a pending watch would delay the exit for seconds.
         return 0;
     }
--- a/src/app/entrynode.cpp
+++ b/src/app/entrynode.cpp
@@ -29,16 +29,10 @@
 constexpr int metricsThreads = 2;
 constexpr std::int64_t bytesPerMb = 1 << 20;
 constexpr std::int64_t percent = 100;
-// Some callers cache a look-up answer for up to three times its maximum age.
-constexpr std::int64_t maxLookupAgeFactor = 3;
-// Percentage of the stop's grace period after which new requests are rejected; the rest is left to active requests.
-constexpr std::int64_t rejectAfterPercent = 55;
-// Time from the start of a stop in which every request is taken: callers still choose this VM, and the platform's contract expects
-// those that take too long to be broken off. Later ones must be able to end before the process exits.
-constexpr std::int64_t takeAllMs = 3'000;
-// The process exits this long before the grace period ends: on an overloaded processor its last steps take hundreds of ms.
-constexpr std::int64_t exitMarginMs = 600;
 constexpr std::int64_t stopPollMs = 20;
+constexpr std::int64_t lastAnswersPollMs = 2;
+// Longest time to accept the connections that wait when the port is closed.
+constexpr std::int64_t closePortTimeoutMs = 100;
 // A caller connection and the connection to an upstream that it uses take one file descriptor each.
 constexpr std::int64_t descriptorsPerConnection = 2;
 constexpr std::int64_t reservedDescriptors = 300;
@@ -108,9 +102,9 @@
     , placement_(options.placement, static_cast<int>(regionsOf(settings.locality).size()))
     , teamLimiter_(self_, regionsOf(settings.locality).size() <= 1, quotaTerms(settings), clock)
     , dispatchContext_{clock, snapshot_, idleConnections_, regionShiftLimiter_, {settings.bounds.coldFactor, settings.bounds.coldSlack, options.placement},
-          settings.bounds.retries, teamLimiter_, metrics_, stopDeadline_, requestSequence_, bodyMemory_, failureLog_, sampleLog_, options.admission,
+          settings.bounds.retries, teamLimiter_, metrics_, intake_.stopDeadline(), requestSequence_, bodyMemory_, failureLog_, sampleLog_, options.admission,
           settings.bounds.revocation, [this] { return configurationState(); }}
-    , sessionContext_{dispatchContext_, stopping_, rejectAfter_, rejectLongAfter_, activeRequests_, pipelineThreads_}
+    , sessionContext_{dispatchContext_, intake_, pipelineThreads_}
     , peers_(self_, options.peerSilenceMs)
     , storeRevisions_(clock.monotonic())
     , heartbeats_(peers_, storeRevisions_, self_.ip, self_.peerPort, clock, seed)
@@ -138,7 +132,7 @@
         return snapshot.manifest
             && std::any_of(snapshot.services.begin(), snapshot.services.end(), [](const auto &entry) { return !entry.second->upstreams.empty(); });
     });
-    return hasUpstreams && !stopping_;
+    return hasUpstreams && !intake_.isStopping();
 }
 
 void EntryNode::onVms(const std::map<std::string, Steering::EntryVm> &vms)
@@ -280,19 +274,39 @@
     const std::int64_t grace = settings_.bounds.stopGraceMs;
     const auto peers = peers_.vmsAcceptingCallers(begin);
     Base::log(Base::LogLevel::Info, "stopping",
-        {{"vm", self_.name}, {"active", activeRequests_.load()}, {"graceMs", grace}, {"noticedAfterMs", clock_.monotonic() - begin}});
-    stopping_ = true;
+        {{"vm", self_.name}, {"active", intake_.activeRequests()}, {"graceMs", grace}, {"noticedAfterMs", clock_.monotonic() - begin}});
+    stopPlan_ = Steering::planStop(begin, grace, options_.lookupAgeMs);
+    intake_.beginStop(stopPlan_);
     peers_.setAcceptsCallers(false);
     heartbeats_.announce(peers);
-    stopDeadline_ = begin + grace - exitMarginMs;
-    rejectLongAfter_ = begin + takeAllMs;
-    rejectAfter_ = begin + grace * rejectAfterPercent / percent;
-    const Base::MonotonicMs lookupsExpireAt = begin + std::min(maxLookupAgeFactor * options_.lookupAgeMs, grace - exitMarginMs);
-    while (clock_.monotonic() < stopDeadline_ && (activeRequests_ > 0 || clock_.monotonic() < lookupsExpireAt)) {
+    while (!Steering::mayEndIntake(stopPlan_, intake_.activeRequests(), clock_.monotonic())) {
         std::this_thread::sleep_for(std::chrono::milliseconds(stopPollMs));
     }
+    endIntake();
+    Base::log(Base::LogLevel::Info, "stopped", {{"vm", self_.name}, {"active", intake_.activeRequests()}, {"tookMs", clock_.monotonic() - begin}});
+}
+
+void EntryNode::abandonStart()
+{
+    stopPlan_ = Steering::planStop(clock_.monotonic(), settings_.bounds.stopGraceMs, 0);
+    intake_.beginStop(stopPlan_);
+    endIntake();
+}
+
+void EntryNode::endIntake()
+{
+    intake_.end();
+    Base::log(Base::LogLevel::Info, "intake-ended", {{"vm", self_.name}, {"active", intake_.activeRequests()}});
+    awaitLastAnswers();
+    entryServer_.stopListening(closePortTimeoutMs);
     logSuppressedLines();
-    Base::log(Base::LogLevel::Info, "stopped", {{"vm", self_.name}, {"active", activeRequests_.load()}, {"tookMs", clock_.monotonic() - begin}});
+}
+
+void EntryNode::awaitLastAnswers() const
+{
+    while (!Steering::mayExit(stopPlan_, intake_.activeRequests(), clock_.monotonic())) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(lastAnswersPollMs));
+    }
 }
 
 } // namespace Wasabistair::App
--- a/src/app/entrynode.h
+++ b/src/app/entrynode.h
@@ -33,8 +33,13 @@
     /// Starts to read the store; the VM is ready once it has a manifest and at least one upstream.
     void start();
     /// Drains this VM, which was asked to stop at @p requestedAt. Returns when no request is active and cached look-up answers have expired,
-    /// or shortly before the platform's grace period ends.
+    /// or shortly before the platform's grace period ends. Requests that arrive afterwards are rejected.
     void stop(Base::MonotonicMs requestedAt);
+    /// Ends a VM whose start() failed: rejects new requests and returns when no request is active.
+    void abandonStart();
+    /// After stop() or abandonStart(): waits until the answers to requests that arrived last, rejections among them, have been sent, or there is no time
+    /// left for them. The process may exit then.
+    void awaitLastAnswers() const;
     /// Reads the settings file again and logs the result if the reload was @p requested or the settings changed. Changes apply at the next start.
     void reload(const std::string &path, bool requested);
     /// Runs the periodic tasks that are due. Must be called several times a second.
@@ -50,6 +55,8 @@
     void onRoutingSnapshot(std::shared_ptr<const Steering::RoutingSnapshot> snapshot);
     void updateLocalShares(Base::MonotonicMs now);
     void logSuppressedLines();
+    /// Ends the intake, waits for the requests that were taken, and closes the port.
+    void endIntake();
 
     const Adapter::VmSettings settings_;
     /// Settings as last read from the file; changes take effect at the next start.
@@ -57,11 +64,8 @@
     const EntryOptions options_;
     const Base::Clock &clock_;
     const Steering::EntryVm self_;
-    std::atomic<Base::MonotonicMs> stopDeadline_{0};
-    std::atomic<Base::MonotonicMs> rejectAfter_{0};
-    std::atomic<Base::MonotonicMs> rejectLongAfter_{0};
-    std::atomic<bool> stopping_{false};
-    std::atomic<int> activeRequests_{0};
+    Callers::RequestIntake intake_;
+    Steering::StopPlan stopPlan_;
     std::atomic<int> pipelineThreads_{0};
     std::atomic<std::uint64_t> requestSequence_{0};
     Base::MonotonicMs localSharesUpdatedAt_ = 0;
--- a/src/app/entryprogram.cpp
+++ b/src/app/entryprogram.cpp
@@ -77,13 +77,26 @@
     node.stop(stopRequestedAt);
 }
 
-[[noreturn]] void endProcess(int code)
+void flushLog()
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(logFlushMs));
+}
+
+[[noreturn]] void endProcess(int code)
+{
+    flushLog();
     // Skips destructors, since threads of caller connections may still be in library calls. No state is left to save.
     std::_Exit(code);
 }
 
+/// Ends the process of a node whose intake has ended. Nothing may come between the last answers and the exit.
+[[noreturn]] void endProcess(const EntryNode &node, int code)
+{
+    flushLog();
+    node.awaitLastAnswers();
+    std::_Exit(code);
+}
+
 [[noreturn]] void endAfterFailure(const std::string &cause)
 {
     Base::log(Base::LogLevel::Error, "cannot-start", {{"cause", cause}});
@@ -103,10 +116,12 @@
             node.start();
         } catch (const std::exception &error) {
             // Without destroying the node, which would wait for the threads that have been started.
-            endAfterFailure(error.what());
+            Base::log(Base::LogLevel::Error, "cannot-start", {{"cause", error.what()}});
+            node.abandonStart();
+            endProcess(node, exitCannotStart);
         }
         serveUntilStopped(node, file, clock);
-        endProcess(0);
+        endProcess(node, 0);
     } catch (const Poco::Exception &error) {
         endAfterFailure(error.displayText());
     } catch (const std::exception &error) {
--- a/src/libs/callers/callersession.cpp
+++ b/src/libs/callers/callersession.cpp
@@ -25,30 +25,6 @@
 constexpr double msPerSecond = 1000;
 constexpr int retryAfterDecimals = 3;
 
-/// Counts a request as active for its own lifetime.
-class ActiveRequest
-{
-public:
-    ActiveRequest(std::atomic<int> &active, prometheus::Gauge &gauge)
-        : active_(active)
-        , gauge_(gauge)
-    {
-        active_.fetch_add(1);
-        gauge_.Increment();
-    }
-    ~ActiveRequest()
-    {
-        gauge_.Decrement();
-        active_.fetch_sub(1);
-    }
-    ActiveRequest(const ActiveRequest &) = delete;
-    ActiveRequest &operator=(const ActiveRequest &) = delete;
-
-private:
-    std::atomic<int> &active_;
-    prometheus::Gauge &gauge_;
-};
-
 int statusFor(ReadOutcome outcome)
 {
     switch (outcome) {
@@ -133,7 +109,7 @@
     if (outcome == ReadOutcome::Closed) {
         return false;
     }
-    const ActiveRequest active(context_.activeRequests, context_.pass.metrics.requestsInFlight());
+    const RequestIntake::ActiveRequest active(context_.intake, context_.pass.metrics.requestsInFlight());
     if (outcome != ReadOutcome::Complete) {
         rejectIncomplete(outcome, request);
         return false;
@@ -150,28 +126,23 @@
 
 bool CallerSession::mustReject(const CallerRequest &request) const
 {
-    const Base::MonotonicMs rejectAfter = context_.rejectAfter.load(std::memory_order_relaxed);
-    if (rejectAfter == 0) {
+    if (!context_.intake.isStopping()) {
         return false;
     }
-    const Base::MonotonicMs now = context_.pass.clock.monotonic();
-    if (now >= rejectAfter || now < context_.rejectLongAfter.load(std::memory_order_relaxed)) {
-        return now >= rejectAfter;
-    }
     const std::int64_t allowedMs = context_.pass.snapshot.read([&](const Steering::RoutingSnapshot &snapshot) {
         const auto *route = snapshot.manifest ? Steering::findRoute(*snapshot.manifest, requestHost(request.head), requestPath(request.head)) : nullptr;
         return maxDurationMs(request, route);
     });
-    return request.arrivedAt + allowedMs > context_.pass.stopDeadline.load(std::memory_order_relaxed);
+    return context_.intake.mustReject(request.arrivedAt + allowedMs, context_.pass.clock.monotonic());
 }
 
 DispatchResult CallerSession::pass(const CallerRequest &request, PipelinedRequests &pipelined)
 {
     // Requests behind one whose answer closes the connection are not started; they count as not read.
-    const bool keepsConnection = request.head.getKeepAlive() && !context_.stopping.load(std::memory_order_relaxed);
+    const bool keepsConnection = request.head.getKeepAlive() && !context_.intake.isStopping();
     if (keepsConnection && pipelined.startAvailable()) {
         stream_.setOnReadable([&] {
-            const bool mayStart = !context_.stopping.load(std::memory_order_relaxed);
+            const bool mayStart = !context_.intake.isStopping();
             return mayStart && stream_.readAvailable() == Http::IoState::Ok && pipelined.startAvailable();
         });
     }
@@ -183,7 +154,7 @@
 bool CallerSession::answerPipelined(PipelinedRequests &pipelined)
 {
     while (!pipelined.isEmpty()) {
-        pipelined.waitForFirst(!context_.stopping.load(std::memory_order_relaxed));
+        pipelined.waitForFirst(!context_.intake.isStopping());
         const bool keepsConnection = answer(pipelined.firstRequest(), pipelined.firstResult(), pipelined.size() - 1);
         pipelined.removeFirst();
         if (!keepsConnection) {
@@ -198,7 +169,7 @@
     if (result.end == DispatchOutcome::CallerDisconnected) {
         return false;
     }
-    const bool close = !request.head.getKeepAlive() || (context_.stopping.load(std::memory_order_relaxed) && pipelinedCount == 0);
+    const bool close = !request.head.getKeepAlive() || (context_.intake.isStopping() && pipelinedCount == 0);
     if (close && !stream_.input().empty() && context_.pass.failureLog.tryAcquire()) {
         Base::log(Base::LogLevel::Info, "requests-left-unread", {{"behind", request.metadata.requestId}, {"bytes", stream_.input().size()}});
     }
--- a/src/libs/callers/callersession.h
+++ b/src/libs/callers/callersession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pipelinedrequests.h"
+#include "requestintake.h"
 
 #include <memory>
 
@@ -9,14 +10,7 @@
 /// State shared by all connections of the process.
 struct SessionContext {
     DispatchContext &pass;
-    /// True while the process stops; each connection then closes after its next answer.
-    const std::atomic<bool> &stopping;
-    /// Monotonic time from which new requests are rejected because the process stops; 0 while they are accepted.
-    const std::atomic<Base::MonotonicMs> &rejectAfter;
-    /// While the process stops, monotonic time from which requests whose deadline is after its exit are rejected.
-    const std::atomic<Base::MonotonicMs> &rejectLongAfter;
-    /// Number of requests that are being served.
-    std::atomic<int> &activeRequests;
+    RequestIntake &intake;
     /// Number of threads that run pipelined requests concurrently with an earlier one of their connection.
     std::atomic<int> &pipelineThreads;
 };
--- a/src/libs/callers/entryserver.cpp
+++ b/src/libs/callers/entryserver.cpp
@@ -21,8 +21,12 @@
 // Small stacks suffice because sessions keep bodies on the heap.
 constexpr int stackBytes = 256 * 1024;
 constexpr std::int64_t acceptPollMs = 1'000;
+// The same while the process stops, so that the port can be closed soon.
+constexpr std::int64_t stoppingPollMs = 50;
 // The same while there are connections to reject.
 constexpr std::int64_t rejectPollMs = 10;
+// How often a thread that waits for the port to be closed looks.
+constexpr std::int64_t closePollMs = 5;
 // Pause after a failed accept. Without a free file descriptor the connection stays in the queue, and the socket stays readable.
 constexpr std::int64_t acceptRetryMs = 20;
 
@@ -72,13 +76,23 @@
     threads_.stopAll();
 }
 
+void EntryServer::stopListening(std::int64_t timeoutMs)
+{
+    mayListen_ = false;
+    const Base::MonotonicMs end = context_.pass.clock.monotonic() + timeoutMs;
+    while (listening_ && context_.pass.clock.monotonic() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(closePollMs));
+    }
+}
+
 void EntryServer::acceptLoop()
 {
     while (!closing_) {
         try {
-            const std::int64_t pollMs = rejector_.isEmpty() ? acceptPollMs : rejectPollMs;
-            if (socket_.poll(Poco::Timespan(pollMs * Poco::Timespan::MILLISECONDS), Poco::Net::Socket::SELECT_READ)) {
-                serve(socket_.acceptConnection());
+            if (listening_) {
+                acceptNext();
+            } else {
+                std::this_thread::sleep_for(std::chrono::milliseconds(rejectPollMs));
             }
             rejector_.poll();
         } catch (const Poco::Exception &error) {
@@ -89,6 +103,19 @@
     }
 }
 
+void EntryServer::acceptNext()
+{
+    const bool mayListen = mayListen_;
+    const std::int64_t idlePollMs = context_.intake.isStopping() ? stoppingPollMs : acceptPollMs;
+    const std::int64_t pollMs = !mayListen ? 0 : rejector_.isEmpty() ? idlePollMs : rejectPollMs;
+    if (socket_.poll(Poco::Timespan(pollMs * Poco::Timespan::MILLISECONDS), Poco::Net::Socket::SELECT_READ)) {
+        serve(socket_.acceptConnection());
+    } else if (!mayListen) {
+        socket_.close();
+        listening_ = false;
+    }
+}
+
 void EntryServer::onAcceptFailed(const std::string &cause)
 {
     // No file descriptor or memory is free, or the caller has already disconnected; later connections may still be accepted.
--- a/src/libs/callers/entryserver.h
+++ b/src/libs/callers/entryserver.h
@@ -23,8 +23,13 @@
     EntryServer(const EntryServer &) = delete;
     EntryServer &operator=(const EntryServer &) = delete;
 
+    /// Accepts the connections that wait in the queue, then closes the port, so that callers reach no process that is about to exit. Returns when
+    /// that is done, or after @p timeoutMs.
+    void stopListening(std::int64_t timeoutMs);
+
 private:
     void acceptLoop();
+    void acceptNext();
     void serve(const Poco::Net::StreamSocket &socket);
     void onAcceptFailed(const std::string &cause);
 
@@ -33,6 +38,8 @@
     Poco::ThreadPool threads_;
     /// Used by the acceptor's thread only.
     ConnectionRejector rejector_;
+    std::atomic<bool> mayListen_{true};
+    std::atomic<bool> listening_{true};
     std::atomic<bool> closing_{false};
     std::thread acceptor_;
 };
--- a/src/libs/operators/requestexplanation.cpp
+++ b/src/libs/operators/requestexplanation.cpp
@@ -35,8 +35,8 @@
 /// Whether @p line reports a change that affects all requests of its VM.
 bool isVmWideEvent(const LogLine &line)
 {
-    static const std::set<std::string> events = {"started", "ready", "not-ready", "stopping", "stopped", "settings-read", "settings-refused", "store-lost",
-        "store-regained", "store-history-gone", "manifest-in-force", "zone-evacuated", "zone-taken-back", "lines-left-out"};
+    static const std::set<std::string> events = {"started", "ready", "not-ready", "stopping", "intake-ended", "stopped", "settings-read", "settings-refused",
+        "store-lost", "store-regained", "store-history-gone", "manifest-in-force", "zone-evacuated", "zone-taken-back", "lines-left-out"};
     return events.contains(line.event);
 }
 
--- a/tests/auto/entry/tst_stopping.cpp
+++ b/tests/auto/entry/tst_stopping.cpp
@@ -9,10 +9,13 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <fstream>
+#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -111,6 +114,30 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - signalAt).count();
     }
 
+    /// Starts the VM again with another grace period.
+    void setGracePeriod(int seconds)
+    {
+        const std::string path = directory + "/settings.toml";
+        std::stringstream text;
+        text << std::ifstream(path).rdbuf();
+        const std::string bound = "grace-s=6";
+        const std::size_t at = text.str().find(bound);
+        REQUIRE(at != std::string::npos);
+        std::ofstream(path) << text.str().replace(at, bound.size(), "grace-s=" + std::to_string(seconds));
+        killAndRestartVm();
+        REQUIRE(get("/safe/x").status == 200);
+    }
+
+    /// Whether an upstream has received the request.
+    [[nodiscard]] bool hasRun(const std::string &id) const
+    {
+        const auto received = [&id](const StandIns::ScriptedUpstream &upstream) {
+            const auto requests = upstream.received();
+            return std::any_of(requests.begin(), requests.end(), [&id](const Request &request) { return request.header("X-Request-Id") == id; });
+        };
+        return received(first) || received(second);
+    }
+
     /// Sends one request after the other on a reused connection until shortly before the VM exits.
     std::vector<SentRequest> call(int caller)
     {
@@ -182,3 +209,70 @@
     CHECK(late.head.find("Retry-After: ") != std::string::npos);
     CHECK(vm->wait() == 0);
 }
+
+TEST_CASE_FIXTURE(StoppingFixture, "vm_requestArrivesWhileTheIdleVmExits_isAnsweredOrNeverPassedOn")
+{
+    // Guards against an order that is taken after the VM has found itself idle: it was passed on, and the process exited before its answer. The
+    // grace period is so long that requests aren't rejected yet when the VM becomes idle.
+    setGracePeriod(10);
+    constexpr int workMs = 200;
+    // Shorter than the process takes from its last look at its requests to its exit, and longer than it takes to notice that it is idle.
+    constexpr int pauseMs = 30;
+    constexpr std::int64_t beginMs = 4'000;
+    constexpr std::int64_t endMs = 9'000;
+    script = [](int, const Request &request) { return Answer{.bytes = ScriptedUpstream::completeAnswer(request, 200, "done"), .delayMs = workMs}; };
+    signalAt = Clock::now();
+    vm->signal(SIGTERM);
+    std::this_thread::sleep_until(signalAt + std::chrono::milliseconds(beginMs));
+    int answered = 0;
+    while (sinceSignalMs() < endMs) {
+        const std::size_t before = runs();
+        const CallerAnswer order = send("POST", "/once/x", "order");
+        CAPTURE(sinceSignalMs());
+        CHECK((order.status != 0 || runs() == before));
+        answered += order.status == 200 ? 1 : 0;
+        if (order.status == 0) {
+            break;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(pauseMs));
+    }
+    CHECK(answered > 0);
+    CHECK(vm->wait() == 0);
+    CHECK(sinceSignalMs() < endMs);
+}
+
+TEST_CASE_FIXTURE(StoppingFixture, "vm_manyCallersArriveWhileItExits_noOrderThatRanIsWithoutAnswer")
+{
+    // As above, with requests at every moment of the exit, on new and on kept connections.
+    setGracePeriod(10);
+    script = [](int, const Request &request) { return Answer{.bytes = ScriptedUpstream::completeAnswer(request, 200, "done"), .delayMs = 60}; };
+    signalAt = Clock::now();
+    vm->signal(SIGTERM);
+    std::this_thread::sleep_until(signalAt + std::chrono::milliseconds(4'300));
+    std::atomic<int> answered{0};
+    std::atomic<int> lost{0};
+    std::vector<std::thread> threads;
+    for (int caller = 0; caller < 6; ++caller) {
+        threads.emplace_back([&, caller] {
+            PersistentCaller connection(callerPort);
+            for (int i = 0; sinceSignalMs() < 9'000; ++i) {
+                const std::string id = "late-" + std::to_string(caller) + "-" + std::to_string(i);
+                const std::string text = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id + "\r\nContent-Length: 5\r\n\r\norder";
+                const int status = connection.exchange(text, text.size());
+                answered += status == 200 ? 1 : 0;
+                if (status == 0) {
+                    lost += hasRun(id) ? 1 : 0;
+                    return;
+                }
+                std::this_thread::sleep_for(std::chrono::milliseconds(100 + (caller * 37 + i * 53) % 200));
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    CHECK(answered > 0);
+    CHECK(lost == 0);
+    CHECK(vm->wait() == 0);
+    CHECK(sinceSignalMs() < 9'500);
+}
