--- a/src/app/entrynode.cpp
+++ b/src/app/entrynode.cpp
@@ -229,6 +229,9 @@
     }
     registration_.checkEra();
     updateLocalShares(now);
+    if (teamLimiter_.isInUse()) {
+        registration_.settle();
+    }
     if (teamLimiter_.takeConfirmable()) {
         registration_.confirmKeeper();
     }
--- a/src/libs/nodes/quotaexchange.cpp
+++ b/src/libs/nodes/quotaexchange.cpp
@@ -44,7 +44,7 @@
 
 Steering::QuotaVm QuotaExchange::quotaVm(const Steering::EntryVm &vm) const
 {
-    return {vm.name, isPartByZone_ ? vm.zone : vm.region, vm.incarnation, vm.confirmedKeeper};
+    return {vm.name, isPartByZone_ ? vm.zone : vm.region, vm.incarnation, vm.confirmedKeeper, vm.provisional};
 }
 
 void QuotaExchange::addRegisteredVms(const std::map<std::string, Steering::EntryVm> &vms)
@@ -275,6 +275,11 @@
     logKeepingChange(change);
 }
 
+bool QuotaExchange::isInUse() const
+{
+    return started_;
+}
+
 bool QuotaExchange::takeConfirmable()
 {
     const std::lock_guard lock(mutex_);
--- a/src/libs/nodes/quotaexchange.h
+++ b/src/libs/nodes/quotaexchange.h
@@ -40,6 +40,8 @@
     [[nodiscard]] Steering::TeamAdmission admit(const Steering::TeamRule &team, std::int64_t deadlineMs) override;
     void refund(const Steering::TeamRule &team, const Steering::TeamAdmission &admission) override;
 
+    /// Whether the configuration has limited some team.
+    [[nodiscard]] bool isInUse() const;
     /// Whether this VM's registration should say from now on that the VM is confirmed; true once.
     [[nodiscard]] bool takeConfirmable();
     /// Metrics as text; empty as long as no team was limited.
--- a/src/libs/steering/entryvm.h
+++ b/src/libs/steering/entryvm.h
@@ -22,6 +22,8 @@
     double linkMbps = 1000;
     /// Every VM that may keep limits of teams in this VM's part of the fleet ranks this VM.
     bool confirmedKeeper = false;
+    /// The store may still come back from an older copy that lacks this registration. Such a VM keeps no limits of teams.
+    bool provisional = false;
 
     auto operator<=>(const EntryVm &) const = default;
 };
--- a/src/libs/steering/quotakeeping.cpp
+++ b/src/libs/steering/quotakeeping.cpp
@@ -26,25 +26,30 @@
 
 std::vector<QuotaVm> QuotaKeeping::addRegistered(const std::vector<QuotaVm> &vms)
 {
-    std::vector<QuotaVm> added;
+    std::vector<QuotaVm> settled;
+    const bool couldKeep = hasReadOwnRegistration_;
     for (const QuotaVm &vm : vms) {
-        if (vm.name == self_.name) {
-            // A list that shows this incarnation isn't older than its registration, so it shows all VMs that registered before.
-            if (vm.incarnation == self_.incarnation) {
-                hasReadOwnRegistration_ = true;
-                self_.confirmed = self_.confirmed || vm.confirmed;
-            }
+        if (vm.name == self_.name && vm.incarnation == self_.incarnation && !vm.provisional) {
+            // A list that shows this incarnation isn't older than its registration, so it shows all VMs whose registrations no copy lacks.
+            hasReadOwnRegistration_ = true;
+            self_.confirmed = self_.confirmed || vm.confirmed;
         }
         auto &ranking = parts_[vm.part];
         const auto [entry, isNew] = ranking.try_emplace(vm.name, RankedVm{vm, hashOf(vm.name)});
-        const bool confirmed = entry->second.vm.confirmed || vm.confirmed;
-        entry->second.vm = vm;
-        entry->second.vm.confirmed = confirmed;
-        if (isNew && vm.part == self_.part && vm.name != self_.name) {
-            added.push_back(vm);
+        RankedVm &ranked = entry->second;
+        const bool wasProvisional = isNew || ranked.vm.provisional;
+        const bool confirmed = ranked.vm.confirmed || vm.confirmed;
+        // An older copy may show a VM as it was before.
+        const bool provisional = wasProvisional && vm.provisional;
+        ranked.vm = vm;
+        ranked.vm.confirmed = confirmed;
+        ranked.vm.provisional = provisional;
+        ranked.isRanked = ranked.isRanked || !couldKeep || !provisional;
+        if (wasProvisional && !provisional && vm.part == self_.part && vm.name != self_.name) {
+            settled.push_back(vm);
         }
     }
-    return added;
+    return settled;
 }
 
 void QuotaKeeping::addAcknowledgement(const std::string &vm)
@@ -62,7 +67,7 @@
     const auto ownPlace = std::pair(weightOf(selfHash_, teamHash), self_.name);
     std::pair<std::uint64_t, std::string> firstConfirmed{0, ""};
     for (const auto &[name, ranked] : part->second) {
-        if (name == self_.name) {
+        if (name == self_.name || !ranked.isRanked) {
             continue;
         }
         const std::uint64_t weight = weightOf(ranked.hash, teamHash);
@@ -79,7 +84,7 @@
     // VMs that rank after a confirmed one know that, and don't keep this team.
     return std::all_of(part->second.begin(), part->second.end(), [&](const auto &entry) {
         const auto place = std::pair(weightOf(entry.second.hash, teamHash), entry.first);
-        return entry.first == self_.name || place < firstConfirmed || acknowledgedBy_.contains(entry.first);
+        return entry.first == self_.name || !entry.second.isRanked || place < firstConfirmed || acknowledgedBy_.contains(entry.first);
     });
 }
 
@@ -93,9 +98,10 @@
     const RankedVm *first = nullptr;
     std::uint64_t firstWeight = 0;
     for (const auto &[name, ranked] : found->second) {
-        // In order of names, so of two VMs of one weight the later name wins, as in mayKeep().
+        // In order of names, so of two VMs of one weight the later name wins, as in mayKeep(). A provisional VM keeps nothing.
         const std::uint64_t weight = weightOf(ranked.hash, teamHash);
-        if (first == nullptr || weight >= firstWeight) {
+        const bool isBetter = first != nullptr && first->vm.provisional != ranked.vm.provisional ? first->vm.provisional : weight >= firstWeight;
+        if (first == nullptr || isBetter) {
             first = &ranked;
             firstWeight = weight;
         }
@@ -106,7 +112,11 @@
 bool QuotaKeeping::ranks(const std::string &vm) const
 {
     const auto part = parts_.find(self_.part);
-    return part != parts_.end() && part->second.contains(vm);
+    if (part == parts_.end()) {
+        return false;
+    }
+    const auto found = part->second.find(vm);
+    return found != part->second.end() && found->second.isRanked;
 }
 
 std::vector<std::string> QuotaKeeping::unacknowledged() const
@@ -117,7 +127,7 @@
         return names;
     }
     for (const auto &[name, ranked] : part->second) {
-        if (name != self_.name && !acknowledgedBy_.contains(name)) {
+        if (name != self_.name && ranked.isRanked && !acknowledgedBy_.contains(name)) {
             names.push_back(name);
         }
     }
--- a/src/libs/steering/quotakeeping.h
+++ b/src/libs/steering/quotakeeping.h
@@ -18,6 +18,8 @@
     std::uint64_t incarnation = 0;
     /// Every VM that may keep anything in this part has this VM in its ranking.
     bool confirmed = false;
+    /// The registration may be missing from a copy that the store comes back from.
+    bool provisional = false;
 
     auto operator<=>(const QuotaVm &) const = default;
 };
@@ -27,12 +29,15 @@
 /// The keeper is the VM that ranks first for the team among those registered in the part, whether alive or not. Rankings of two VMs
 /// can differ while one of them hasn't read of the other. So a VM that ranks first waits until those that may be keeping the team have
 /// acknowledged that they have it in their rankings. A VM never leaves a ranking while the process lives.
+///
+/// The store may come back from an older copy that lacks a registration. So a VM keeps nothing as long as its registration is provisional, and
+/// those that keep its teams go on until it isn't any more.
 class QuotaKeeping
 {
 public:
     explicit QuotaKeeping(QuotaVm self);
 
-    /// Adds the registered VMs of all parts. Returns those new in the own part.
+    /// Adds the registered VMs of all parts. Returns the VMs of the own part that may ask for an acknowledgement from now on.
     std::vector<QuotaVm> addRegistered(const std::vector<QuotaVm> &vms);
     /// The VM @p vm has this VM, in this incarnation, in its ranking.
     void addAcknowledgement(const std::string &vm);
@@ -47,7 +52,7 @@
     [[nodiscard]] std::vector<std::string> unacknowledged() const;
     /// All VMs of the own part have acknowledged this one, and its registration doesn't say so yet.
     [[nodiscard]] bool isConfirmable() const;
-    /// Whether this VM has read its registration, so knows all VMs that registered before.
+    /// Whether this VM has read its registration, which wasn't provisional any more, so knows all VMs that registered before.
     [[nodiscard]] bool hasReadOwnRegistration() const;
     [[nodiscard]] const QuotaVm &self() const;
     [[nodiscard]] std::vector<std::string> parts() const;
@@ -57,6 +62,9 @@
     struct RankedVm {
         QuotaVm vm;
         std::uint64_t hash = 0;
+        /// False for a VM that is still provisional and was learned of when this VM could keep teams already. It will read this VM's
+        /// registration before it keeps anything, and ask for an acknowledgement.
+        bool isRanked = false;
     };
 
     QuotaVm self_;
--- a/src/libs/steering/quotamember.cpp
+++ b/src/libs/steering/quotamember.cpp
@@ -32,11 +32,11 @@
 
 void QuotaMember::addRegistered(const std::vector<QuotaVm> &vms, std::int64_t nowMs, QuotaOutbox &outbox)
 {
-    const std::vector<QuotaVm> added = keeping_.addRegistered(vms);
+    const std::vector<QuotaVm> settled = keeping_.addRegistered(vms);
     keepersByTeam_.clear();
-    // Teams are given up before the new VMs are told so.
+    // Teams are given up before the VMs that rank before this one are told so.
     updateKept(nowMs);
-    for (const QuotaVm &vm : added) {
+    for (const QuotaVm &vm : settled) {
         QuotaMessage &message = messageTo(vm.name, outbox);
         message.acknowledges = true;
         message.receiverIncarnation = vm.incarnation;
--- a/tests/auto/adapter/tst_registration.cpp
+++ b/tests/auto/adapter/tst_registration.cpp
@@ -34,6 +34,25 @@
         return false;
     }
 
+    /// Time at which the VM's entry isn't provisional any more; 0 if it still is after @p timeoutMs.
+    Base::MonotonicMs settledAt(std::int64_t timeoutMs)
+    {
+        const Base::MonotonicMs end = clock.monotonic() + timeoutMs;
+        while (clock.monotonic() < end) {
+            if (hasSettledEntry()) {
+                return clock.monotonic();
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return 0;
+    }
+
+    bool hasSettledEntry()
+    {
+        auto object = tryStoreCall([&] { return client.get("wasabistair-vms", "vm-1"); });
+        return object && !object.value->spec.contains("provisional");
+    }
+
     Base::SystemClock clock;
     StandIns::FakeObjectStore store;
     StoreCallCounters counters;
@@ -68,3 +87,63 @@
     moved.start();
     CHECK(becomes(2, false));
 }
+
+TEST_CASE_FIXTURE(RegistrationFixture, "registration_vmIsNewToTheStore_isSettledWhenNoCopyCanLackIt")
+{
+    Registration registration(vm, {"127.0.0.1", store.port()}, clock, counters, eras, 1);
+    const Base::MonotonicMs begin = clock.monotonic();
+    registration.start();
+    registration.settle();
+    CHECK(becomes(1, false));
+    CHECK_FALSE(hasSettledEntry());
+    CHECK(settledAt(oldestCopyMs + 3'000) >= begin + oldestCopyMs);
+}
+
+TEST_CASE_FIXTURE(RegistrationFixture, "registration_limitsOfTeamsAreNotInUse_costsNoFurtherCall")
+{
+    Registration registration(vm, {"127.0.0.1", store.port()}, clock, counters, eras, 1);
+    registration.start();
+    CHECK(becomes(1, false));
+    CHECK(settledAt(oldestCopyMs + 1'000) == 0);
+    CHECK(counters.calls(StoreCall::Create) == 1);
+    CHECK(counters.calls(StoreCall::Replace) == 0);
+    // Nothing is left to wait for when they come into use later.
+    registration.settle();
+    CHECK(settledAt(1'000) != 0);
+}
+
+TEST_CASE_FIXTURE(RegistrationFixture, "registration_storeComesBackWithoutIt_waitsAnew")
+{
+    // Guards against a registration that counts as known to all since it once was old enough.
+    store.stateEras();
+    store.put("wasabistair-vms", "vm-0", encodeVm(vm));
+    const std::uint64_t copy = store.revision();
+    Registration registration(vm, {"127.0.0.1", store.port()}, clock, counters, eras, 1);
+    registration.start();
+    registration.settle();
+    CHECK(becomes(1, false));
+    std::this_thread::sleep_for(std::chrono::milliseconds(oldestCopyMs / 2));
+    store.restoreRevision(copy);
+    const Base::MonotonicMs restoredAt = clock.monotonic();
+    CHECK(settledAt(2 * oldestCopyMs + 3'000) >= restoredAt + oldestCopyMs);
+}
+
+TEST_CASE_FIXTURE(RegistrationFixture, "registration_vmStartsAnew_isSettledAtOnceIfItWasBefore")
+{
+    store.put("wasabistair-vms", "vm-1", encodeVm(vm));
+    vm.incarnation = 2;
+    {
+        Registration registration(vm, {"127.0.0.1", store.port()}, clock, counters, eras, 1);
+        registration.start();
+        CHECK(becomes(2, false));
+        CHECK(hasSettledEntry());
+    }
+    vm.provisional = true;
+    store.put("wasabistair-vms", "vm-1", encodeVm(vm));
+    vm.incarnation = 3;
+    vm.provisional = false;
+    Registration registration(vm, {"127.0.0.1", store.port()}, clock, counters, eras, 1);
+    registration.start();
+    CHECK(becomes(3, false));
+    CHECK_FALSE(hasSettledEntry());
+}
--- a/tests/auto/entry/entryfixture.cpp
+++ b/tests/auto/entry/entryfixture.cpp
@@ -169,13 +169,14 @@
     return parseAnswer(sendAndReceive(lookupPort, "GET /resolve?name=h.example&region=north&zone=a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
 }
 
-bool EntryFixture::eventually(const std::function<bool()> &condition)
+bool EntryFixture::eventually(const std::function<bool()> &condition, std::chrono::milliseconds timeout)
 {
-    for (int i = 0; i < 250; ++i) {
+    constexpr auto interval = std::chrono::milliseconds(20);
+    for (std::chrono::milliseconds waited{0}; waited < timeout; waited += interval) {
         if (condition()) {
             return true;
         }
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        std::this_thread::sleep_for(interval);
     }
     return false;
 }
--- a/tests/auto/entry/entryfixture.h
+++ b/tests/auto/entry/entryfixture.h
@@ -4,6 +4,8 @@
 #include <standins/fakeobjectstore.h>
 #include <standins/scriptedupstream.h>
 
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -43,8 +45,8 @@
     void killAndRestartVm();
     /// Registers both upstreams, the first with @p firstState.
     void registerUpstreams(const std::string &firstState = "ready");
-    /// Waits until @p condition holds; false after five seconds.
-    static bool eventually(const std::function<bool()> &condition);
+    /// Waits until @p condition holds; false after @p timeout.
+    static bool eventually(const std::function<bool()> &condition, std::chrono::milliseconds timeout = std::chrono::seconds(5));
     /// Number of requests that both upstreams received together.
     [[nodiscard]] std::size_t runs() const;
     /// Peak resident memory of the VM in kB; -1 when it can't be read.
--- a/tests/auto/steering/quotafleet.h
+++ b/tests/auto/steering/quotafleet.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// A fleet of QuotaMembers and the store with their registrations; messages and reads happen when the test says so.
@@ -20,6 +21,10 @@
         /// Index of the store's state that the process has read.
         std::size_t seen = 0;
         bool cutOff = false;
+        /// Whether the registration has been in the store for long enough to be part of every copy.
+        bool settled = false;
+        std::int64_t registeredAtMs = 0;
+        int registeredEra = 0;
     };
     struct Flying {
         std::string to;
@@ -31,8 +36,13 @@
     Wasabistair::Steering::QuotaTerms terms;
     Limits limits;
     std::map<std::string, Member> members;
-    /// States of the store by revision.
-    std::vector<std::map<std::string, Wasabistair::Steering::QuotaVm>> store{{}};
+    using State = std::map<std::string, Wasabistair::Steering::QuotaVm>;
+    /// States of the store in the order in which they held, and since when.
+    std::vector<State> store{{}};
+    std::vector<std::int64_t> heldSinceMs{0};
+    int era = 1;
+    /// Age of the oldest copy that the store may come back from; 0 when it never does.
+    std::int64_t oldestCopyMs = 0;
     std::vector<Flying> flying;
     std::function<std::int64_t(const std::string &, const std::string &)> delayMs = [](const auto &, const auto &) { return 0; };
     std::int64_t nowMs = 1'000;
@@ -44,11 +54,11 @@
         member.vm.incarnation = ++incarnations;
         member.process = std::make_unique<Wasabistair::Steering::QuotaMember>(member.vm, terms);
         member.process->setLimits(limits, nowMs);
-        auto state = store.back();
-        const auto stored = state.find(member.vm.name);
-        member.vm.confirmed = stored != state.end() && stored->second.confirmed;
-        state[member.vm.name] = member.vm;
-        store.push_back(std::move(state));
+        const auto stored = store.back().find(member.vm.name);
+        const bool isStored = stored != store.back().end();
+        member.vm.confirmed = isStored && stored->second.confirmed;
+        member.settled = oldestCopyMs == 0 || (isStored && !stored->second.provisional);
+        registerNow(member);
         read(member, seen);
     }
 
@@ -64,16 +74,62 @@
         post(member, outbox);
     }
 
+    void push(State state)
+    {
+        store.push_back(std::move(state));
+        heldSinceMs.push_back(nowMs);
+    }
+
+    void registerNow(Member &member)
+    {
+        member.vm.provisional = !member.settled;
+        member.registeredAtMs = nowMs;
+        member.registeredEra = era;
+        State state = store.back();
+        state[member.vm.name] = member.vm;
+        push(std::move(state));
+    }
+
+    /// Looks whether the store still has the registration after it came back from a copy.
+    void checkRegistration(Member &member)
+    {
+        if (member.registeredEra != era) {
+            member.vm.confirmed = member.vm.confirmed || member.process->keeping().self().confirmed;
+            registerNow(member);
+        }
+    }
+
+    void settleIfDue(Member &member)
+    {
+        if (!member.settled && member.registeredEra == era && nowMs >= member.registeredAtMs + oldestCopyMs) {
+            member.settled = true;
+            registerNow(member);
+        }
+    }
+
     void confirmIfDue(Member &member)
     {
-        auto state = store.back();
-        auto &stored = state[member.vm.name];
-        if (member.process->isConfirmable() && stored.incarnation == member.vm.incarnation && !stored.confirmed) {
-            stored.confirmed = true;
-            store.push_back(std::move(state));
+        State state = store.back();
+        const auto stored = state.find(member.vm.name);
+        if (stored != state.end() && member.process->isConfirmable() && stored->second.incarnation == member.vm.incarnation && !stored->second.confirmed) {
+            stored->second.confirmed = true;
+            push(std::move(state));
         }
     }
 
+    /// The store comes back from the copy of state @p revision.
+    void restore(std::size_t revision)
+    {
+        era += 1;
+        push(State(store[revision]));
+    }
+
+    /// Whether a copy of state @p revision is young enough to be the one that the store comes back from.
+    bool isCopy(std::size_t revision) const
+    {
+        return revision + 1 == store.size() || heldSinceMs[revision + 1] > nowMs - oldestCopyMs;
+    }
+
     void post(const Member &sender, Wasabistair::Steering::QuotaOutbox &outbox)
     {
         for (auto &[to, message] : outbox) {
--- a/tests/auto/steering/quotaload.h
+++ b/tests/auto/steering/quotaload.h
@@ -61,7 +61,7 @@
         for (auto &[name, vm] : state) {
             vm.confirmed = true;
         }
-        store.push_back(std::move(state));
+        push(std::move(state));
         for (auto &[name, member] : members) {
             read(member, store.size() - 1);
         }
--- a/tests/auto/steering/tst_quotamodel.cpp
+++ b/tests/auto/steering/tst_quotamodel.cpp
@@ -13,10 +13,11 @@
 
 /// Random interleavings of everything that can happen to a small fleet. One run per seed.
 struct QuotaRun: QuotaFleet {
-    explicit QuotaRun(std::uint64_t seed)
+    explicit QuotaRun(std::uint64_t seed, std::int64_t oldestCopy = 0)
         : random(seed)
         , limitsChange(seed % 4 == 0)
     {
+        oldestCopyMs = oldestCopy;
         terms = {2, 80, 6};
         for (const std::string &team : teams) {
             limits[team] = limitChoices[0];
@@ -82,6 +83,24 @@
         limitHistory.push_back({nowMs, limits});
     }
 
+    void comeBackOrRegister(Member &member)
+    {
+        const std::size_t event = below(16);
+        if (event == 0) {
+            std::size_t revision = store.size() - 1;
+            while (revision > 0 && isCopy(revision - 1) && below(4) != 0) {
+                --revision;
+            }
+            restore(revision);
+        } else if (event < 6) {
+            checkRegistration(member);
+        } else if (event < 11) {
+            settleIfDue(member);
+        } else {
+            confirmIfDue(member);
+        }
+    }
+
     void step()
     {
         nowMs += static_cast<std::int64_t>(below(5));
@@ -99,6 +118,8 @@
             start(member, member.seen);
         } else if (event < 60 && member.process && !member.cutOff) {
             read(member, member.seen + below(store.size() - member.seen));
+        } else if (event < 80 && oldestCopyMs > 0 && member.process && !member.cutOff) {
+            comeBackOrRegister(member);
         } else if (event < 80 && member.process && !member.cutOff) {
             confirmIfDue(member);
         } else if (event < 110 && member.process) {
@@ -161,9 +182,7 @@
     std::vector<std::pair<std::int64_t, Limits>> limitHistory;
 };
 
-} // namespace
-
-TEST_CASE("quotaModel_anyInterleaving_eachPartIsKeptOnceAndEveryWindowIsWithinTheBound")
+void checkRuns(std::int64_t oldestCopyMs)
 {
     constexpr std::uint64_t seeds = 2'000;
     constexpr int stepsPerSeed = 2'000;
@@ -171,7 +190,7 @@
     std::size_t keptAtEnd = 0;
     double fullestOfAll = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        QuotaRun run(seed);
+        QuotaRun run(seed, oldestCopyMs);
         bool keptTwice = false;
         for (int i = 0; i < stepsPerSeed && !keptTwice; ++i) {
             run.step();
@@ -194,3 +213,17 @@
     CHECK(requests > 50 * seeds);
     CHECK(keptAtEnd > seeds / 2);
 }
+
+} // namespace
+
+TEST_CASE("quotaModel_anyInterleaving_eachPartIsKeptOnceAndEveryWindowIsWithinTheBound")
+{
+    checkRuns(0);
+}
+
+TEST_CASE("quotaModel_storeComesBackFromOldCopies_eachPartIsKeptOnceAndEveryWindowIsWithinTheBound")
+{
+    // Guards against two keepers of a part: one that the copy lacks, and one that started from the copy.
+    constexpr std::int64_t oldestCopyMs = 150;
+    checkRuns(oldestCopyMs);
+}
--- a/tests/auto/steering/tst_quotas.cpp
+++ b/tests/auto/steering/tst_quotas.cpp
@@ -34,6 +34,18 @@
     std::int64_t nowMs = 10'000;
 };
 
+/// A team that ranks @p vm first of the VMs a and b.
+std::string teamRankedFirstAt(const std::string &vm)
+{
+    QuotaKeeping keeping(QuotaVm{"a", "north", 1});
+    keeping.addRegistered({QuotaVm{"a", "north", 1}, QuotaVm{"b", "north", 1}});
+    std::string team = "t";
+    while (keeping.keeperOf("north", team)->name != vm) {
+        team += "t";
+    }
+    return team;
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(QuotaBucketFixture, "quotaBucket_begins_emptyAndHoldsItsPart")
@@ -140,3 +152,47 @@
     CHECK(newer.mayKeep(team));
     CHECK(newer.isConfirmable());
 }
+
+TEST_CASE("quotaKeeping_newVmIsProvisional_formerKeeperGoesOnUntilItIsSettled")
+{
+    // Guards against a part that nobody keeps for as long as a new VM must wait.
+    const QuotaVm former{"a", "north", 1, true};
+    const QuotaVm settled{"b", "north", 2, false};
+    QuotaVm provisional = settled;
+    provisional.provisional = true;
+    QuotaKeeping keeper(former);
+    keeper.addRegistered({former});
+    QuotaKeeping newer(settled);
+    newer.addRegistered({former, provisional});
+    const std::string team = teamRankedFirstAt("b");
+    CHECK(keeper.addRegistered({former, provisional}).empty());
+    CHECK(keeper.mayKeep(team));
+    CHECK_FALSE(keeper.ranks("b"));
+    CHECK(keeper.keeperOf("north", team)->name == "a");
+    CHECK_FALSE(newer.mayKeep(team));
+    CHECK_FALSE(newer.hasReadOwnRegistration());
+
+    CHECK(keeper.addRegistered({former, settled}) == std::vector<QuotaVm>{settled});
+    CHECK_FALSE(keeper.mayKeep(team));
+    CHECK(keeper.ranks("b"));
+    newer.addRegistered({former, settled});
+    CHECK_FALSE(newer.mayKeep(team));
+    newer.addAcknowledgement("a");
+    CHECK(newer.mayKeep(team));
+    // An older list doesn't undo that.
+    keeper.addRegistered({former, provisional});
+    CHECK_FALSE(keeper.mayKeep(team));
+}
+
+TEST_CASE("quotaKeeping_vmStartsAmongProvisionalOnes_ranksThem")
+{
+    // Guards against a VM that reads a copy, in which a keeper is still provisional, and keeps its teams.
+    const QuotaVm self{"a", "north", 1, true};
+    QuotaVm other{"b", "north", 2, false};
+    other.provisional = true;
+    QuotaKeeping keeping(self);
+    keeping.addRegistered({self, other});
+    const std::string team = teamRankedFirstAt("b");
+    CHECK_FALSE(keeping.mayKeep(team));
+    CHECK(keeping.ranks("b"));
+}
