--- a/src/libs/callers/requestadmission.cpp
+++ b/src/libs/callers/requestadmission.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-bool isAdmissionOrdered(const DispatchContext &context, const Steering::RoutingSnapshot &snapshot, const Steering::ServiceSnapshot &service)
+bool isAdmissionOrdered(const DispatchContext &context, const Steering::Manifest &manifest, const Steering::ServiceSnapshot &service)
 {
     switch (context.admissionMode) {
     case Steering::AdmissionMode::On:
@@ -33,7 +33,7 @@
     case Steering::AdmissionMode::Auto:
         break;
     }
-    return snapshot.manifest->teams.requiresKeys() || service.record->placement.reportsPace();
+    return manifest.teams.requiresKeys() || service.record->placement.reportsPace();
 }
 
 RequestAdmission::RequestAdmission(DispatchContext &context, const Steering::ServiceSnapshot &service, const Steering::RequestRules &rules, bool keyed,
--- a/src/libs/callers/requestadmission.h
+++ b/src/libs/callers/requestadmission.h
@@ -10,7 +10,7 @@
 namespace Wasabistair::Callers {
 
 /// Whether requests to @p service are admitted in the order of what their delay costs callers.
-[[nodiscard]] bool isAdmissionOrdered(const DispatchContext &context, const Steering::RoutingSnapshot &snapshot, const Steering::ServiceSnapshot &service);
+[[nodiscard]] bool isAdmissionOrdered(const DispatchContext &context, const Steering::Manifest &manifest, const Steering::ServiceSnapshot &service);
 
 /// Passage of one request through the admission to its service. Ends the request's wait when it is destroyed.
 class RequestAdmission
--- a/src/libs/callers/requestdispatcher.cpp
+++ b/src/libs/callers/requestdispatcher.cpp
@@ -39,6 +39,11 @@
     return value - std::floor(value);
 }
 
+std::shared_ptr<const Steering::RoutingSnapshot> currentSnapshot(const DispatchContext &context)
+{
+    return context.snapshot.read([](const Steering::RoutingSnapshot &snapshot) { return snapshot.shared_from_this(); });
+}
+
 } // namespace
 
 DispatchResult dispatch(DispatchContext &context, const CallerRequest &request, const Http::ByteStream &caller)
@@ -59,7 +64,8 @@
     : context_(context)
     , request_(request)
     , caller_(caller)
-    , snapshot_(context.snapshot.read([](const Steering::RoutingSnapshot &snapshot) { return snapshot.shared_from_this(); }))
+    , snapshot_(currentSnapshot(context))
+    , manifest_(snapshot_->manifest)
 {
     progress_.sequenceNumber = context.sequence.fetch_add(1, std::memory_order_relaxed);
 }
@@ -68,16 +74,16 @@
 {
     DispatchResult result;
     const Base::MonotonicMs stop = context_.stopDeadline.load(std::memory_order_relaxed);
-    if (!snapshot_->manifest) {
+    if (!manifest_) {
         result = failWith(DispatchOutcome::NotReady);
-    } else if (const auto *route = Steering::findRoute(*snapshot_->manifest, requestHost(request_.head), requestPath(request_.head))) {
+    } else if (const auto *route = Steering::findRoute(*manifest_, requestHost(request_.head), requestPath(request_.head))) {
         progress_.deadline = request_.arrivedAt + maxDurationMs(request_, route);
         progress_.deadline = stop > 0 ? std::min(progress_.deadline, stop) : progress_.deadline;
         result = dispatchForTeam(*route);
     } else {
         result = failWith(DispatchOutcome::NoRoute);
     }
-    logRequest(context_, request_, *snapshot_, progress_, result);
+    logRequest(context_, request_, manifest_.get(), progress_, result);
     context_.metrics.countHeldBack(progress_.heldBack, progress_.pausing > 0);
     context_.metrics.countRequest(result.end, static_cast<double>(context_.clock.monotonic() - request_.arrivedAt) / msPerSecond);
     return result;
@@ -85,7 +91,7 @@
 
 DispatchResult RequestDispatcher::dispatchForTeam(const Steering::RouteRule &route)
 {
-    const Steering::TeamDirectory &teams = snapshot_->manifest->teams;
+    const Steering::TeamDirectory &teams = manifest_->teams;
     if (!teams.requiresKeys() || route.anonymous) {
         return dispatchTo(route);
     }
@@ -119,24 +125,48 @@
     progress_.service = Steering::selectService(route, evenlySpreadPoint(progress_.sequenceNumber));
     hasKey_ = route.sticky && !request_.metadata.affinityKey.empty();
     keyHash_ = Steering::hashOf(hasKey_ ? request_.metadata.affinityKey : std::to_string(progress_.sequenceNumber) + request_.metadata.requestId);
-    const auto service = snapshot_->services.find(progress_.service);
-    if (service == snapshot_->services.end()) {
+    if (!refreshService()) {
         return failWith(DispatchOutcome::NoUpstream);
     }
-    const Steering::ServiceSnapshot &candidates = *service->second;
-    candidates.record->requests.fetch_add(1, std::memory_order_relaxed);
-    if (isAdmissionOrdered(context_, *snapshot_, candidates)) {
-        admission_.emplace(context_, candidates, Steering::RequestRules{&route, team_}, hasKey_, request_.arrivedAt, progress_);
+    service_->record->requests.fetch_add(1, std::memory_order_relaxed);
+    if (isAdmissionOrdered(context_, *manifest_, *service_)) {
+        admission_.emplace(context_, *service_, Steering::RequestRules{&route, team_}, hasKey_, request_.arrivedAt, progress_);
     }
-    candidates.record->retries.countRequest(context_.clock.monotonic(), context_.retryLimit);
+    service_->record->retries.countRequest(context_.clock.monotonic(), context_.retryLimit);
     while (true) {
-        if (auto result = attemptOnce(route, candidates)) {
+        if (auto result = attemptOnce(route)) {
             return std::move(*result);
         }
+        if (!refreshService()) {
+            return failWith(mayHaveRun_ ? DispatchOutcome::OutcomeUnknown : DispatchOutcome::NoUpstream);
+        }
     }
 }
 
-std::optional<DispatchResult> RequestDispatcher::attemptOnce(const Steering::RouteRule &route, const Steering::ServiceSnapshot &service)
+bool RequestDispatcher::refreshService()
+{
+    snapshot_ = currentSnapshot(context_);
+    const auto service = snapshot_->services.find(progress_.service);
+    if (service == snapshot_->services.end()) {
+        return false;
+    }
+    service_ = service->second;
+    return true;
+}
+
+bool RequestDispatcher::mayStillUse(const Steering::UpstreamSnapshot &upstream) const
+{
+    const Base::MonotonicMs now = context_.clock.monotonic();
+    return !upstream.record->requestedPause().isInForceAt(now) && context_.snapshot.read([&](const Steering::RoutingSnapshot &current) {
+        const auto service = current.services.find(progress_.service);
+        if (service == current.services.end()) {
+            return false;
+        }
+        return service->second == service_ ? Steering::isOpen(upstream, now) : Steering::isOpen(*service->second, *upstream.record, now);
+    });
+}
+
+std::optional<DispatchResult> RequestDispatcher::attemptOnce(const Steering::RouteRule &route)
 {
     const Base::MonotonicMs now = context_.clock.monotonic();
     if (now >= progress_.deadline) {
@@ -146,7 +176,7 @@
     if (caller_.isClosedByPeer()) {
         return failWith(DispatchOutcome::CallerDisconnected);
     }
-    const Steering::Selection selection = Steering::selectUpstream(*snapshot_, service,
+    const Steering::Selection selection = Steering::selectUpstream(*snapshot_, *service_,
         {{&route, team_}, keyHash_, triedUpstreams_, now, admission_ ? admission_->maxLoadPerSlot(now) : Steering::noLoadLimit, hasKey_},
         context_.selectorLimits, context_.regionShiftLimiter);
     progress_.loadPerSlot = selection.loadPerSlot;
@@ -169,20 +199,20 @@
         admission_->onRoomFound(selection.loadPerSlot, now);
     }
     Upstreams::CallResult result;
-    const AttemptOutcome outcome = send(*selection.upstream, route, *service.record, result);
-    return afterAttempt(route, service, outcome, result);
+    const AttemptOutcome outcome = send(*selection.upstream, route, result);
+    return afterAttempt(route, outcome, result);
 }
 
-AttemptOutcome RequestDispatcher::send(
-    const Steering::UpstreamSnapshot &upstream, const Steering::RouteRule &route, Steering::ServiceRecord &service, Upstreams::CallResult &result)
+AttemptOutcome RequestDispatcher::send(const Steering::UpstreamSnapshot &upstream, const Steering::RouteRule &route, Upstreams::CallResult &result)
 {
+    Steering::ServiceRecord &service = *service_->record;
     const Base::MonotonicMs begin = context_.clock.monotonic();
     upstream.record->beginAttempt();
     if (upstream.record->announcedLimit().requestsPerSecond()) {
         context_.metrics.countWithinLimit();
     }
     Upstreams::UpstreamCall call(context_.idleConnections, context_.memory, context_.clock);
-    const auto maySend = [&] { return !upstream.record->requestedPause().isInForceAt(context_.clock.monotonic()); };
+    const auto maySend = [&] { return mayStillUse(upstream); };
     try {
         const Upstreams::ForwardedRequest forwarded{request_.head, request_.body, request_.metadata.requestId, route.idempotent, maySend, teamStatement()};
         result = call.run(upstream.entry, forwarded, caller_, progress_.deadline);
@@ -224,7 +254,7 @@
 
 Adapter::TeamStatement RequestDispatcher::teamStatement() const
 {
-    return {snapshot_->manifest->teams.requiresKeys(), team_ == nullptr ? std::string() : team_->name};
+    return {manifest_->teams.requiresKeys(), team_ == nullptr ? std::string() : team_->name};
 }
 
 void RequestDispatcher::recordAttempt(const Steering::UpstreamSnapshot &upstream, AttemptOutcome outcome, std::int64_t tookMs)
@@ -258,8 +288,7 @@
             {"backoffMs", health.backoffMs}});
 }
 
-std::optional<DispatchResult> RequestDispatcher::afterAttempt(
-    const Steering::RouteRule &route, const Steering::ServiceSnapshot &service, AttemptOutcome outcome, Upstreams::CallResult &result)
+std::optional<DispatchResult> RequestDispatcher::afterAttempt(const Steering::RouteRule &route, AttemptOutcome outcome, Upstreams::CallResult &result)
 {
     if (outcome == AttemptOutcome::Abandoned) {
         return failWith(DispatchOutcome::CallerDisconnected);
@@ -276,7 +305,7 @@
     }
     // There would be no memory for the answer to a retry either.
     const bool retryable = (route.idempotent || !mayHaveRun_) && outcome != AttemptOutcome::Discarded;
-    if (retryable && mayRetry(route, service, delivered)) {
+    if (retryable && mayRetry(route, delivered)) {
         return std::nullopt;
     }
     if (outcome == AttemptOutcome::Failed && !impliesNotRun(result.answer.status) && result.answer.metadata.isSigned) {
@@ -286,7 +315,7 @@
     return failWith(mayHaveRun_ ? DispatchOutcome::OutcomeUnknown : delivered ? DispatchOutcome::UpstreamsRejected : DispatchOutcome::NoUpstream);
 }
 
-bool RequestDispatcher::mayRetry(const Steering::RouteRule &route, const Steering::ServiceSnapshot &service, bool delivered)
+bool RequestDispatcher::mayRetry(const Steering::RouteRule &route, bool delivered)
 {
     if (progress_.selections >= maxSelections || progress_.deliveredAttempts >= route.maxAttempts) {
         return false;
@@ -294,7 +323,7 @@
     if (!delivered) {
         return true;
     }
-    const bool allowed = service.record->retries.trySpend(context_.clock.monotonic(), context_.retryLimit, snapshot_->fleetSize);
+    const bool allowed = service_->record->retries.trySpend(context_.clock.monotonic(), context_.retryLimit, snapshot_->fleetSize);
     context_.metrics.countRetry(allowed);
     return allowed;
 }
--- a/src/libs/callers/requestdispatcher.h
+++ b/src/libs/callers/requestdispatcher.h
@@ -24,16 +24,18 @@
     /// Identifies the caller's team and applies its limit before the request is dispatched.
     [[nodiscard]] DispatchResult dispatchForTeam(const Steering::RouteRule &route);
     [[nodiscard]] DispatchResult dispatchTo(const Steering::RouteRule &route);
-    [[nodiscard]] std::optional<DispatchResult> attemptOnce(const Steering::RouteRule &route, const Steering::ServiceSnapshot &service);
-    [[nodiscard]] Steering::AttemptOutcome send(
-        const Steering::UpstreamSnapshot &upstream, const Steering::RouteRule &route, Steering::ServiceRecord &service, Upstreams::CallResult &result);
+    /// Adopts the current routing snapshot; returns false if the service isn't in it any more.
+    [[nodiscard]] bool refreshService();
+    /// Whether the current routing snapshot still allows requests to @p upstream, and it hasn't asked for a pause.
+    [[nodiscard]] bool mayStillUse(const Steering::UpstreamSnapshot &upstream) const;
+    [[nodiscard]] std::optional<DispatchResult> attemptOnce(const Steering::RouteRule &route);
+    [[nodiscard]] Steering::AttemptOutcome send(const Steering::UpstreamSnapshot &upstream, const Steering::RouteRule &route, Upstreams::CallResult &result);
     [[nodiscard]] Adapter::TeamStatement teamStatement() const;
     void recordAttempt(const Steering::UpstreamSnapshot &upstream, Steering::AttemptOutcome outcome, std::int64_t tookMs);
     void logHealthChange(
         const Steering::UpstreamSnapshot &upstream, const Steering::UpstreamRecord::HealthStateChange &change, Steering::AttemptOutcome outcome) const;
-    [[nodiscard]] std::optional<DispatchResult> afterAttempt(
-        const Steering::RouteRule &route, const Steering::ServiceSnapshot &service, Steering::AttemptOutcome outcome, Upstreams::CallResult &result);
-    [[nodiscard]] bool mayRetry(const Steering::RouteRule &route, const Steering::ServiceSnapshot &service, bool delivered);
+    [[nodiscard]] std::optional<DispatchResult> afterAttempt(const Steering::RouteRule &route, Steering::AttemptOutcome outcome, Upstreams::CallResult &result);
+    [[nodiscard]] bool mayRetry(const Steering::RouteRule &route, bool delivered);
     [[nodiscard]] DispatchResult failWith(DispatchOutcome end);
     [[nodiscard]] DispatchResult failAtDeadline();
     /// Time after which the caller should retry, in ms.
@@ -44,7 +46,11 @@
     DispatchContext &context_;
     const CallerRequest &request_;
     const Http::ByteStream &caller_;
+    /// Read again for each selection, since a request can wait for longer than an upstream may be used after it has begun to drain.
     std::shared_ptr<const Steering::RoutingSnapshot> snapshot_;
+    std::shared_ptr<const Steering::ServiceSnapshot> service_;
+    /// The configuration that applies to the request until its end.
+    const std::shared_ptr<const Steering::Manifest> manifest_;
     std::uint64_t keyHash_ = 0;
     /// Whether the caller named an affinity key, and why the upstream chosen last is expected to know it.
     bool hasKey_ = false;
--- a/src/libs/callers/requestlog.h
+++ b/src/libs/callers/requestlog.h
@@ -36,7 +36,8 @@
 };
 
 /// Logs the end of a request: each that failed and one of several that succeeded, within the rate limits of the context.
-void logRequest(const DispatchContext &context, const CallerRequest &request, const Steering::RoutingSnapshot &snapshot, const DispatchProgress &progress,
+/// @p manifest: the configuration that applied to it; null if there was none.
+void logRequest(const DispatchContext &context, const CallerRequest &request, const Steering::Manifest *manifest, const DispatchProgress &progress,
     const DispatchResult &result);
 
 } // namespace Wasabistair::Callers
--- a/src/libs/steering/routingsnapshot.cpp
+++ b/src/libs/steering/routingsnapshot.cpp
@@ -184,6 +184,17 @@
     return mode == PlacementMode::On || (mode == PlacementMode::Auto && service.record->placement.reportsPace());
 }
 
+bool isOpen(const UpstreamSnapshot &upstream, std::int64_t nowMs)
+{
+    return !upstream.entry.leaving && !upstream.evacuated && !upstream.record->leavingNotice().isInForceAt(nowMs);
+}
+
+bool isOpen(const ServiceSnapshot &service, const UpstreamRecord &record, std::int64_t nowMs)
+{
+    return std::any_of(service.upstreams.begin(), service.upstreams.end(),
+        [&](const UpstreamSnapshot &upstream) { return upstream.record.get() == &record && isOpen(upstream, nowMs); });
+}
+
 double estimatedLoad(const ServiceSnapshot &service, const UpstreamSnapshot &upstream, bool byRegion, std::int64_t nowMs)
 {
     const double mean = byRegion ? service.record->placement.loadPerSlotAt(upstream.local, nowMs) : service.record->load.at(nowMs);
@@ -194,8 +205,7 @@
 {
     RegionCapacity room;
     for (const UpstreamSnapshot &upstream : service.upstreams) {
-        if (upstream.entry.leaving || upstream.evacuated || upstream.record->leavingNotice().isInForceAt(nowMs)
-            || upstream.record->requestedPause().isInForceAt(nowMs)
+        if (!isOpen(upstream, nowMs) || upstream.record->requestedPause().isInForceAt(nowMs)
             || upstream.record->healthStateAt(service.record->timeoutRate.load(std::memory_order_relaxed), nowMs) == HealthState::Ejected) {
             continue;
         }
--- a/src/libs/steering/routingsnapshot.h
+++ b/src/libs/steering/routingsnapshot.h
@@ -137,6 +137,11 @@
     bool initialized_ = false;
 };
 
+/// Whether requests may be sent to @p upstream: it isn't leaving, by its registration or its own answers, and its zone isn't evacuated.
+[[nodiscard]] bool isOpen(const UpstreamSnapshot &upstream, std::int64_t nowMs);
+/// The same for the upstream of @p record; false if @p service doesn't have it.
+[[nodiscard]] bool isOpen(const ServiceSnapshot &service, const UpstreamRecord &record, std::int64_t nowMs);
+
 /// Whether requests of a service go to the upstream that is expected to answer first, and keys are placed zone by zone.
 enum class PlacementMode {
     /// For services whose upstreams state their pace.
--- a/src/libs/steering/upstreamselector.cpp
+++ b/src/libs/steering/upstreamselector.cpp
@@ -51,8 +51,7 @@
 /// Whether the registration, the upstream's leaving, the route or the limit on connections forbid any request of @p query to @p upstream now.
 bool isUnavailable(const RoutingSnapshot &snapshot, const ServiceSnapshot &service, const UpstreamSnapshot &upstream, const SelectionQuery &query)
 {
-    return upstream.entry.leaving || upstream.evacuated || upstream.record->leavingNotice().isInForceAt(query.nowMs)
-        || !isHomeRegion(query.rules, upstream.region) || !isBelowConnectionLimit(snapshot, service.rule, upstream);
+    return !isOpen(upstream, query.nowMs) || !isHomeRegion(query.rules, upstream.region) || !isBelowConnectionLimit(snapshot, service.rule, upstream);
 }
 
 bool wasAttempted(const SelectionQuery &query, const UpstreamSnapshot &upstream)
