--- a/src/app/entrynode.cpp
+++ b/src/app/entrynode.cpp
@@ -63,19 +63,24 @@
     return regions;
 }
 
-Steering::QuotaTerms quotaTerms(const Adapter::VmSettings &settings)
+Steering::QuotaTerms quotaTerms(const Steering::Locality &locality, const Adapter::QuotaTolerance &tolerance)
 {
     // Tokens used late are covered by four fifths of the tolerated overage; the rest is for clocks that run unevenly.
     constexpr double lateUsePart = 0.8;
     constexpr double minTokenLifeMs = 50;
     constexpr double extraBurstPart = 0.5;
-    const Adapter::QuotaTolerance &tolerance = settings.bounds.quota;
-    const std::size_t regions = regionsOf(settings.locality).size();
-    const std::size_t parts = regions > 1 ? regions : settings.locality.regionOfZone.size();
+    const std::size_t regions = regionsOf(locality).size();
+    const std::size_t parts = regions > 1 ? regions : locality.regionOfZone.size();
     const double lifeMs = lateUsePart * tolerance.overage * static_cast<double>(tolerance.windowMs);
     return {std::max(1, static_cast<int>(parts)), static_cast<std::int64_t>(std::max(minTokenLifeMs, lifeMs)), extraBurstPart * tolerance.slack};
 }
 
+std::shared_ptr<const Callers::RequestLimits> requestLimits(const Adapter::ContractBounds &bounds, const EntryOptions &options)
+{
+    return std::make_shared<const Callers::RequestLimits>(
+        Callers::RequestLimits{{bounds.coldFactor, bounds.coldSlack, options.placement}, bounds.retries, bounds.revocation});
+}
+
 InfoAnswer emptyAnswer(int status)
 {
     return {status, "text/plain", ""};
@@ -87,6 +92,7 @@
     const Adapter::VmSettings &settings, const EntryOptions &options, const Base::Clock &clock, std::uint64_t seed, std::int64_t descriptorLimit)
     : settings_(settings)
     , lastReadSettings_(settings)
+    , bounds_(std::make_shared<const Adapter::ContractBounds>(settings.bounds))
     , options_(options)
     , clock_(clock)
     // Limited to 62 bits because the store's integers may be signed.
@@ -94,16 +100,16 @@
     , registry_(std::make_shared<prometheus::Registry>())
     , metrics_(*registry_)
     , snapshot_(std::make_shared<const Steering::RoutingSnapshot>())
+    , requestLimits_(requestLimits(settings.bounds, options))
     , idleConnections_(clock)
     , regionShiftLimiter_(settings.bounds.maxRegionShift, regionShiftWindowMs)
     , bodyMemory_(settings.memoryMb * bytesPerMb * options.bodyMemoryPercent / percent)
     , failureLog_(clock, maxFailureLinesPerSecond)
     , sampleLog_(clock, maxSampleLinesPerSecond)
     , placement_(options.placement, static_cast<int>(regionsOf(settings.locality).size()))
-    , teamLimiter_(self_, regionsOf(settings.locality).size() <= 1, quotaTerms(settings), clock)
-    , dispatchContext_{clock, snapshot_, idleConnections_, regionShiftLimiter_, {settings.bounds.coldFactor, settings.bounds.coldSlack, options.placement},
-          settings.bounds.retries, teamLimiter_, metrics_, intake_.stopDeadline(), requestSequence_, bodyMemory_, failureLog_, sampleLog_, options.admission,
-          settings.bounds.revocation, [this] { return configurationState(); }}
+    , teamLimiter_(self_, regionsOf(settings.locality).size() <= 1, quotaTerms(settings.locality, settings.bounds.quota), clock)
+    , dispatchContext_{clock, snapshot_, idleConnections_, regionShiftLimiter_, requestLimits_, teamLimiter_, metrics_, intake_.stopDeadline(),
+          requestSequence_, bodyMemory_, failureLog_, sampleLog_, options.admission, [this] { return configurationState(); }}
     , sessionContext_{dispatchContext_, intake_, pipelineThreads_}
     , peers_(self_, options.peerSilenceMs)
     , storeRevisions_(clock.monotonic())
@@ -181,7 +187,7 @@
     for (const Steering::EntryVm &vm : vms) {
         addresses.push_back({vm.ip, vm.callerPort});
     }
-    return {HTTPResponse::HTTP_OK, "application/json", Adapter::encodeLookupAnswer(addresses, std::min(options_.lookupAgeMs, settings_.bounds.maxLookupAgeMs))};
+    return {HTTPResponse::HTTP_OK, "application/json", Adapter::encodeLookupAnswer(addresses, lookupAgeMs())};
 }
 
 InfoAnswer EntryNode::metricsText() const
@@ -267,14 +273,39 @@
         return;
     }
     lastReadSettings_ = *read.value;
-    Base::log(Base::LogLevel::Info, "settings-read", {{"file", path}, {"changed", changed ? "yes" : "no"}});
+    if (changed) {
+        applyBounds(lastReadSettings_.bounds);
+    }
+    Adapter::VmSettings appliedSettings = settings_;
+    appliedSettings.bounds = lastReadSettings_.bounds;
+    Base::log(Base::LogLevel::Info, "settings-read",
+        {{"file", path}, {"changed", changed ? "yes" : "no"}, {"needsRestart", appliedSettings == lastReadSettings_ ? "no" : "yes"},
+            {"graceMs", stopGraceMs()}});
+}
+
+void EntryNode::applyBounds(const Adapter::ContractBounds &bounds)
+{
+    bounds_.publish(std::make_shared<const Adapter::ContractBounds>(bounds));
+    requestLimits_.publish(requestLimits(bounds, options_));
+    regionShiftLimiter_.setMaxShift(bounds.maxRegionShift);
+    teamLimiter_.setTerms(quotaTerms(settings_.locality, bounds.quota));
+}
+
+std::int64_t EntryNode::stopGraceMs() const
+{
+    return bounds_.read([](const Adapter::ContractBounds &bounds) { return bounds.stopGraceMs; });
+}
+
+std::int64_t EntryNode::lookupAgeMs() const
+{
+    return std::min(options_.lookupAgeMs, bounds_.read([](const Adapter::ContractBounds &bounds) { return bounds.maxLookupAgeMs; }));
 }
 
 void EntryNode::stop(Base::MonotonicMs requestedAt)
 {
     // The grace period counts from the request to stop, which a process on a busy processor, or one that has just started, notices later.
     const Base::MonotonicMs begin = requestedAt;
-    const std::int64_t grace = settings_.bounds.stopGraceMs;
+    const std::int64_t grace = stopGraceMs();
     const auto peers = peers_.vmsAcceptingCallers(begin);
     Base::log(Base::LogLevel::Info, "stopping",
         {{"vm", self_.name}, {"active", intake_.activeRequests()}, {"graceMs", grace}, {"noticedAfterMs", clock_.monotonic() - begin}});
@@ -291,7 +322,7 @@
 
 void EntryNode::abandonStart()
 {
-    stopPlan_ = Steering::planStop(clock_.monotonic(), settings_.bounds.stopGraceMs, 0);
+    stopPlan_ = Steering::planStop(clock_.monotonic(), stopGraceMs(), 0);
     intake_.beginStop(stopPlan_);
     endIntake();
 }
--- a/src/app/entrynode.h
+++ b/src/app/entrynode.h
@@ -40,7 +40,8 @@
     /// After stop() or abandonStart(): waits until the answers to requests that arrived last, rejections among them, have been sent, or there is no time
     /// left for them. The process may exit then.
     void awaitLastAnswers() const;
-    /// Reads the settings file again and logs the result if the reload was @p requested or the settings changed. Changes apply at the next start.
+    /// Reads the settings file again and logs the result if the reload was @p requested or the settings changed. The bounds of the platform's
+    /// contract apply from then on, other settings at the next start.
     void reload(const std::string &path, bool requested);
     /// Runs the periodic tasks that are due. Must be called several times a second.
     void tick();
@@ -58,9 +59,15 @@
     /// Ends the intake, waits for the requests that were taken, and closes the port.
     void endIntake();
 
+    void applyBounds(const Adapter::ContractBounds &bounds);
+    [[nodiscard]] std::int64_t stopGraceMs() const;
+    [[nodiscard]] std::int64_t lookupAgeMs() const;
+
+    /// Settings at the start of the process.
     const Adapter::VmSettings settings_;
-    /// Settings as last read from the file; changes take effect at the next start.
+    /// Settings as last read from the file.
     Adapter::VmSettings lastReadSettings_;
+    Base::RcuPointer<Adapter::ContractBounds> bounds_;
     const EntryOptions options_;
     const Base::Clock &clock_;
     const Steering::EntryVm self_;
@@ -72,6 +79,7 @@
     std::shared_ptr<prometheus::Registry> registry_;
     Callers::RequestMetrics metrics_;
     Base::RcuPointer<Steering::RoutingSnapshot> snapshot_;
+    Base::RcuPointer<Callers::RequestLimits> requestLimits_;
     Upstreams::IdleConnectionPool idleConnections_;
     Steering::RegionShiftLimiter regionShiftLimiter_;
     /// Memory for buffered bodies of requests and answers.
--- a/src/app/entryprogram.cpp
+++ b/src/app/entryprogram.cpp
@@ -59,12 +59,14 @@
 {
     int handledReloads = 0;
     Base::MonotonicMs checkedAt = clock.monotonic();
-    while (stopRequestedAt == 0) {
+    for (bool stopping = false; !stopping;) {
         std::this_thread::sleep_for(std::chrono::milliseconds(signalPollMs));
+        // The settings, which may change without a signal, are read once more before the stop.
+        stopping = stopRequestedAt != 0;
         const bool requested = reloadSignals != handledReloads;
         try {
             node.tick();
-            if (requested || clock.monotonic() - checkedAt >= settingsFileCheckMs) {
+            if (requested || stopping || clock.monotonic() - checkedAt >= settingsFileCheckMs) {
                 handledReloads = reloadSignals;
                 checkedAt = clock.monotonic();
                 node.reload(file, requested);
--- a/src/libs/callers/dispatchcontext.h
+++ b/src/libs/callers/dispatchcontext.h
@@ -17,14 +17,23 @@
 
 namespace Wasabistair::Callers {
 
+/// Limits on requests that follow from the settings. They may change while the process runs.
+struct RequestLimits {
+    Steering::SelectorLimits selector;
+    Steering::FleetRetryLimit retries;
+    Steering::KeyRevocation keyRevocation;
+
+    auto operator<=>(const RequestLimits &) const = default;
+};
+
 /// State that all requests of the process share.
 struct DispatchContext {
     const Base::Clock &clock;
     const Base::RcuPointer<Steering::RoutingSnapshot> &snapshot;
     Upstreams::IdleConnectionPool &idleConnections;
     Steering::RegionShiftLimiter &regionShiftLimiter;
-    const Steering::SelectorLimits selectorLimits;
-    const Steering::FleetRetryLimit retryLimit;
+    /// Read once for each request.
+    const Base::RcuPointer<RequestLimits> &limits;
     /// Keeps the limits that the configuration sets for teams.
     Steering::TeamLimiter &teamLimiter;
     RequestMetrics &metrics;
@@ -37,7 +46,6 @@
     Base::LogRateLimiter &failureLog;
     Base::LogRateLimiter &sampleLog;
     const Steering::AdmissionMode admissionMode;
-    const Steering::KeyRevocation keyRevocation;
     /// How recent the configuration of the snapshot is. Thread-safe.
     const std::function<Steering::ConfigurationState()> configurationState;
 };
--- a/src/libs/callers/requestdispatcher.cpp
+++ b/src/libs/callers/requestdispatcher.cpp
@@ -64,6 +64,7 @@
     : context_(context)
     , request_(request)
     , caller_(caller)
+    , limits_(context.limits.read([](const RequestLimits &limits) { return limits; }))
     , snapshot_(currentSnapshot(context))
     , manifest_(snapshot_->manifest)
 {
@@ -98,7 +99,7 @@
     progress_.route = route.name;
     team_ = teams.findByKey(request_.metadata.teamKey);
     progress_.team = team_ == nullptr ? std::string() : team_->name;
-    switch (Steering::decideKey(team_ != nullptr, context_.configurationState(), context_.keyRevocation)) {
+    switch (Steering::decideKey(team_ != nullptr, context_.configurationState(), limits_.keyRevocation)) {
     case Steering::KeyDecision::Accepted:
         break;
     case Steering::KeyDecision::Rejected:
@@ -132,7 +133,7 @@
     if (isAdmissionOrdered(context_, *manifest_, *service_)) {
         admission_.emplace(context_, *service_, Steering::RequestRules{&route, team_}, hasKey_, request_.arrivedAt, progress_);
     }
-    service_->record->retries.countRequest(context_.clock.monotonic(), context_.retryLimit);
+    service_->record->retries.countRequest(context_.clock.monotonic(), limits_.retries);
     while (true) {
         if (auto result = attemptOnce(route)) {
             return std::move(*result);
@@ -177,8 +178,8 @@
         return failWith(DispatchOutcome::CallerDisconnected);
     }
     const Steering::Selection selection = Steering::selectUpstream(*snapshot_, *service_,
-        {{&route, team_}, keyHash_, triedUpstreams_, now, admission_ ? admission_->maxLoadPerSlot(now) : Steering::noLoadLimit, hasKey_},
-        context_.selectorLimits, context_.regionShiftLimiter);
+        {{&route, team_}, keyHash_, triedUpstreams_, now, admission_ ? admission_->maxLoadPerSlot(now) : Steering::noLoadLimit, hasKey_}, limits_.selector,
+        context_.regionShiftLimiter);
     progress_.loadPerSlot = selection.loadPerSlot;
     progress_.heldBack += selection.heldBack;
     progress_.pausing = selection.pausing;
@@ -323,7 +324,7 @@
     if (!delivered) {
         return true;
     }
-    const bool allowed = service_->record->retries.trySpend(context_.clock.monotonic(), context_.retryLimit, snapshot_->fleetSize);
+    const bool allowed = service_->record->retries.trySpend(context_.clock.monotonic(), limits_.retries, snapshot_->fleetSize);
     context_.metrics.countRetry(allowed);
     return allowed;
 }
--- a/src/libs/callers/requestdispatcher.h
+++ b/src/libs/callers/requestdispatcher.h
@@ -46,6 +46,7 @@
     DispatchContext &context_;
     const CallerRequest &request_;
     const Http::ByteStream &caller_;
+    const RequestLimits limits_;
     /// Read again for each selection, since a request can wait for longer than an upstream may be used after it has begun to drain.
     std::shared_ptr<const Steering::RoutingSnapshot> snapshot_;
     std::shared_ptr<const Steering::ServiceSnapshot> service_;
--- a/src/libs/nodes/quotaexchange.cpp
+++ b/src/libs/nodes/quotaexchange.cpp
@@ -68,6 +68,12 @@
     }
 }
 
+void QuotaExchange::setTerms(const Steering::QuotaTerms &terms)
+{
+    const std::lock_guard lock(mutex_);
+    member_.setTerms(terms, clock_.monotonic());
+}
+
 void QuotaExchange::setTeams(const Steering::TeamDirectory &teams)
 {
     std::unordered_map<std::string, Steering::TeamLimit> limits;
--- a/src/libs/nodes/quotaexchange.h
+++ b/src/libs/nodes/quotaexchange.h
@@ -34,6 +34,8 @@
     QuotaExchange &operator=(const QuotaExchange &) = delete;
 
     void addRegisteredVms(const std::map<std::string, Steering::EntryVm> &vms);
+    /// Sets how limits are divided and how long tokens last.
+    void setTerms(const Steering::QuotaTerms &terms);
     /// Sets the limits that hold from now on.
     void setTeams(const Steering::TeamDirectory &teams);
 
--- a/src/libs/steering/quotaborrowing.cpp
+++ b/src/libs/steering/quotaborrowing.cpp
@@ -44,6 +44,11 @@
     : tokenLifeMs_(tokenLifeMs)
 {}
 
+void QuotaBorrowing::setTokenLife(std::int64_t tokenLifeMs)
+{
+    tokenLifeMs_ = tokenLifeMs;
+}
+
 void QuotaBorrowing::countDemand(const std::string &team, std::int64_t nowMs)
 {
     TeamState &state = teams_[team];
--- a/src/libs/steering/quotaborrowing.h
+++ b/src/libs/steering/quotaborrowing.h
@@ -68,6 +68,8 @@
 public:
     explicit QuotaBorrowing(std::int64_t tokenLifeMs);
 
+    /// Sets how long tokens last that are granted from now on.
+    void setTokenLife(std::int64_t tokenLifeMs);
     /// Counts one request of @p team as demand.
     void countDemand(const std::string &team, std::int64_t nowMs);
     /// Takes a token; returns until when it may be used. A request that isn't waiting leaves the tokens to those that are.
@@ -136,7 +138,7 @@
     std::int64_t checkOpenAsks(TeamState &state, const std::vector<TeamKeeper> &keepers, std::int64_t nowMs);
     [[nodiscard]] AddressedAsk ask(const std::string &team, TeamState &state, const std::string &vm, std::int64_t tokens, std::int64_t nowMs);
 
-    const std::int64_t tokenLifeMs_;
+    std::int64_t tokenLifeMs_;
     std::uint64_t sequence_ = 0;
     std::uint64_t lapsed_ = 0;
     std::unordered_map<std::string, TeamState> teams_;
--- a/src/libs/steering/quotamember.cpp
+++ b/src/libs/steering/quotamember.cpp
@@ -46,12 +46,24 @@
 void QuotaMember::setLimits(std::unordered_map<std::string, TeamLimit> limits, std::int64_t nowMs)
 {
     limits_ = std::move(limits);
+    limitBuckets(nowMs);
+    updateKept(nowMs);
+}
+
+void QuotaMember::setTerms(const QuotaTerms &terms, std::int64_t nowMs)
+{
+    terms_ = terms;
+    borrowing_.setTokenLife(terms.tokenLifeMs);
+    limitBuckets(nowMs);
+}
+
+void QuotaMember::limitBuckets(std::int64_t nowMs)
+{
     for (auto &[team, bucket] : kept_) {
         if (const auto limit = limits_.find(team); limit != limits_.end()) {
             limitBucket(bucket, limit->second, terms_, nowMs);
         }
     }
-    updateKept(nowMs);
 }
 
 void QuotaMember::updateKept(std::int64_t nowMs)
--- a/src/libs/steering/quotamember.h
+++ b/src/libs/steering/quotamember.h
@@ -63,6 +63,8 @@
 
     /// Adds the registered VMs of all parts.
     void addRegistered(const std::vector<QuotaVm> &vms, std::int64_t nowMs, QuotaOutbox &outbox);
+    /// Sets how limits are divided, and how long tokens last that are granted from now on.
+    void setTerms(const QuotaTerms &terms, std::int64_t nowMs);
     /// Replaces the limits of teams. Teams without a limit must be left out.
     void setLimits(std::unordered_map<std::string, TeamLimit> limits, std::int64_t nowMs);
 
@@ -94,12 +96,13 @@
 private:
     /// Begins and ends to keep teams as the ranking says. A team that is kept anew begins with an empty bucket.
     void updateKept(std::int64_t nowMs);
+    void limitBuckets(std::int64_t nowMs);
     [[nodiscard]] QuotaGrant grant(const QuotaAsk &ask, std::int64_t nowMs);
     void sendAsks(std::int64_t nowMs, QuotaOutbox &outbox);
     [[nodiscard]] const std::vector<TeamKeeper> &keepersOf(const std::string &team) const;
     QuotaMessage &messageTo(const std::string &vm, QuotaOutbox &outbox) const;
 
-    const QuotaTerms terms_;
+    QuotaTerms terms_;
     QuotaKeeping keeping_;
     QuotaBorrowing borrowing_;
     std::unordered_map<std::string, TeamLimit> limits_;
--- a/src/libs/steering/regionpreference.cpp
+++ b/src/libs/steering/regionpreference.cpp
@@ -74,10 +74,16 @@
 }
 
 RegionShiftLimiter::RegionShiftLimiter(double maxShift, std::int64_t windowMs)
-    : maxShift_(maxShift)
-    , bucketMs_(std::max<std::int64_t>(1, windowMs / bucketsPerWindow))
+    : bucketMs_(std::max<std::int64_t>(1, windowMs / bucketsPerWindow))
+    , maxShift_(maxShift)
 {}
 
+void RegionShiftLimiter::setMaxShift(double maxShift)
+{
+    const std::lock_guard lock(mutex_);
+    maxShift_ = maxShift;
+}
+
 RegionShiftLimiter::Bucket &RegionShiftLimiter::bucketAt(std::int64_t nowMs)
 {
     const std::int64_t index = nowMs / bucketMs_;
--- a/src/libs/steering/regionpreference.h
+++ b/src/libs/steering/regionpreference.h
@@ -38,6 +38,8 @@
     /// @p maxShift is the largest increase of a region's share of requests between two adjacent windows.
     RegionShiftLimiter(double maxShift, std::int64_t windowMs);
 
+    /// Sets the limit that applies from now on.
+    void setMaxShift(double maxShift);
     /// Counts one request sent to @p region.
     void count(std::size_t region, std::int64_t nowMs);
     /// Whether one more request may go to @p region without exceeding the limit.
@@ -61,9 +63,9 @@
     Bucket &bucketAt(std::int64_t nowMs);
     [[nodiscard]] WindowCount countIn(std::size_t region, std::int64_t firstIndex, std::int64_t lastIndex) const;
 
-    const double maxShift_;
     const std::int64_t bucketMs_;
     std::mutex mutex_;
+    double maxShift_;
     std::array<Bucket, static_cast<std::size_t>(2 * bucketsPerWindow)> buckets_{};
 };
 
--- a/tests/auto/entry/entryfixture.cpp
+++ b/tests/auto/entry/entryfixture.cpp
@@ -17,6 +17,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <sstream>
 #include <sys/stat.h>
 #include <thread>
 
@@ -130,6 +131,19 @@
     store.put("servers", "u-2", StandIns::upstreamObject(second.port(), "b", "ready"));
 }
 
+void EntryFixture::changeSettings(const std::string &before, const std::string &after) const
+{
+    const std::string path = directory + "/settings.toml";
+    std::stringstream stream;
+    stream << std::ifstream(path).rdbuf();
+    std::string text = stream.str();
+    const std::size_t at = text.find(before);
+    REQUIRE(at != std::string::npos);
+    // Replaced as a whole, as the platform does it: the VM may read the file at any time.
+    std::ofstream(path + ".new") << text.replace(at, before.size(), after);
+    REQUIRE(std::rename((path + ".new").c_str(), path.c_str()) == 0);
+}
+
 void EntryFixture::killAndRestartVm()
 {
     vm->signal(SIGKILL);
--- a/tests/auto/entry/entryfixture.h
+++ b/tests/auto/entry/entryfixture.h
@@ -43,6 +43,8 @@
     [[nodiscard]] CallerAnswer lookup() const;
     /// Ends the VM's process with SIGKILL and starts it again on the same ports; waits until it is ready.
     void killAndRestartVm();
+    /// Replaces the first occurrence of @p before in the VM's settings file.
+    void changeSettings(const std::string &before, const std::string &after) const;
     /// Registers both upstreams, the first with @p firstState.
     void registerUpstreams(const std::string &firstState = "ready");
     /// Waits until @p condition holds; false after @p timeout.
--- a/tests/auto/entry/tst_stopping.cpp
+++ b/tests/auto/entry/tst_stopping.cpp
@@ -14,8 +14,6 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
-#include <fstream>
-#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -117,13 +115,7 @@
     /// Starts the VM again with another grace period.
     void setGracePeriod(int seconds)
     {
-        const std::string path = directory + "/settings.toml";
-        std::stringstream text;
-        text << std::ifstream(path).rdbuf();
-        const std::string bound = "grace-s=6";
-        const std::size_t at = text.str().find(bound);
-        REQUIRE(at != std::string::npos);
-        std::ofstream(path) << text.str().replace(at, bound.size(), "grace-s=" + std::to_string(seconds));
+        changeSettings("grace-s=6", "grace-s=" + std::to_string(seconds));
         killAndRestartVm();
         REQUIRE(get("/safe/x").status == 200);
     }
--- a/tests/auto/entry/tst_teams.cpp
+++ b/tests/auto/entry/tst_teams.cpp
@@ -68,12 +68,7 @@
     /// Restarts the VM with settings that ask for it.
     void useStrictRevocation()
     {
-        const std::string path = directory + "/settings.toml";
-        std::stringstream text;
-        text << std::ifstream(path).rdbuf();
-        std::string settings = text.str();
-        settings.replace(settings.find("bounds = ["), 10, R"(bounds = ["strict-revoke=true","revoke-ms=1000",)");
-        std::ofstream(path) << settings;
+        changeSettings("bounds = [", R"(bounds = ["strict-revoke=true","revoke-ms=1000",)");
         killAndRestartVm();
     }
 
--- a/tests/auto/steering/tst_budgets.cpp
+++ b/tests/auto/steering/tst_budgets.cpp
@@ -157,3 +157,18 @@
         CHECK(preference * 12 / (preference * 12 + 84) == doctest::Approx(share));
     }
 }
+
+TEST_CASE("regionShiftLimiter_limitChanges_appliesFromThenOn")
+{
+    constexpr std::int64_t window = 2 * second;
+    RegionShiftLimiter regionShiftLimiter(1, window);
+    for (std::int64_t now = 0; now < window; now += 10) {
+        regionShiftLimiter.count(0, now);
+    }
+    for (std::int64_t now = window; now < 2 * window; now += 10) {
+        regionShiftLimiter.count(now % 40 == 0 ? 1 : 0, now);
+    }
+    CHECK(regionShiftLimiter.allowsShiftTo(1, 2 * window - 1));
+    regionShiftLimiter.setMaxShift(0.15);
+    CHECK_FALSE(regionShiftLimiter.allowsShiftTo(1, 2 * window - 1));
+}
--- a/tests/auto/steering/tst_quotas.cpp
+++ b/tests/auto/steering/tst_quotas.cpp
@@ -196,3 +196,26 @@
     CHECK_FALSE(keeping.mayKeep(team));
     CHECK(keeping.ranks("b"));
 }
+
+TEST_CASE("quotaMember_termsChange_bucketsAndTokensFollow")
+{
+    // Guards against a keeper that goes by the tolerance of its start.
+    const QuotaVm self{"a", "north", 1, true};
+    QuotaOutbox outbox;
+    QuotaMember member(self, {1, 400, 10});
+    member.setLimits({{"ada", {100, 0}}}, 0);
+    member.addRegistered({self}, 0, outbox);
+    REQUIRE(member.keeps("ada"));
+    member.setTerms({1, 100, 2}, 1'000);
+    // The first look counts the demand that tokens are asked for.
+    CHECK_FALSE(member.begin("ada", 1'000, outbox).has_value());
+    member.beginWait("ada");
+    int admitted = 0;
+    for (int i = 0; i < 10; ++i) {
+        if (const auto validUntilMs = member.lookAgain("ada", 1'000, outbox)) {
+            CHECK(*validUntilMs == 1'100);
+            ++admitted;
+        }
+    }
+    CHECK(admitted == 2);
+}
