--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,7 +10,7 @@
     src/libs/base/clock.cpp
     tests/standins/childprocess.cpp tests/standins/fakeobjectstore.cpp tests/standins/httpserver.cpp tests/standins/ports.cpp
     tests/standins/scriptedupstream.cpp
-    review/support-3/record.cpp review/support-3/smallfleet.cpp
+    review/support-3/record.cpp review/support-3/smallfleet.cpp review/support-3/storefront.cpp
 )
 objects=()
 for source in "${shared[@]}"; do
--- a/review/support-3/smallfleet.cpp
+++ b/review/support-3/smallfleet.cpp
@@ -30,6 +30,8 @@
 constexpr int pollMs = 10;
 constexpr int keys = 400;
 constexpr std::int64_t msPerSecond = 1'000;
+// Objects in one answer to a list, by the page.
+constexpr std::size_t listPageSize = 500;
 constexpr int statusOk = 200;
 // As many ports as the range of a VM in the users' example.
 constexpr int innerPorts = 16;
@@ -153,6 +155,8 @@
     , regionOfZone_(std::move(regionOfZone))
     , bounds_(std::move(bounds))
     , directory_(Poco::TemporaryFile::tempName())
+    , store_(listPageSize)
+    , storePort_(store_.port())
 {
     if (::mkdir(directory_.c_str(), S_IRWXU) != 0) {
         throw std::runtime_error("no temporary folder");
@@ -181,12 +185,28 @@
     places_.push_back({"front-" + zone + "-" + std::to_string(places_.size() + 1), zone, StandIns::freePort(), StandIns::freePort(), StandIns::freePort()});
 }
 
+void SmallFleet::addService(const std::string &name)
+{
+    services_.push_back(name);
+}
+
+void SmallFleet::setStorePort(std::uint16_t port)
+{
+    storePort_ = port;
+}
+
 void SmallFleet::putManifest(int version)
 {
-    store_.put("config", "main",
-        {{"version", version}, {"routes", {{"reads", route("/reads/", "safe")}, {"orders", route("/orders/", "unsafe")}}},
-            {"services", {{"svc", {{"health-path", "/health"}, {"max-connections", 300}, {"cold-start-s", 3.0}, {"cold-per-s", 14.0}}}}},
-            {"limits", {{"max-header-bytes", 16'384}, {"max-body-bytes", 1'048'576}, {"header-timeout-ms", 5'000}, {"idle-timeout-ms", 15'000}}}});
+    const Json service = {{"health-path", "/health"}, {"max-connections", 300}, {"cold-start-s", 3.0}, {"cold-per-s", 14.0}};
+    Json manifest
+        = {{"version", version}, {"routes", {{"reads", route("/reads/", "safe")}, {"orders", route("/orders/", "unsafe")}}}, {"services", {{"svc", service}}},
+            {"limits", {{"max-header-bytes", 16'384}, {"max-body-bytes", 1'048'576}, {"header-timeout-ms", 5'000}, {"idle-timeout-ms", 15'000}}}};
+    for (const std::string &name : services_) {
+        manifest["routes"][name] = route("/" + name + "/", "safe");
+        manifest["routes"][name]["service"] = name;
+        manifest["services"][name] = service;
+    }
+    store_.put("config", "main", manifest);
 }
 
 std::string SmallFleet::settingsOf(const EntryPlace &place) const
@@ -212,7 +232,7 @@
     }
     text << "[listen]\nfront = " << quotedLoopback(place.callerPort) << "ready-addr = " << quotedLoopback(place.readyPort)
          << "directory = " << quotedLoopback(place.lookupPort)
-         << "[limits]\ncpu-share = 0.2\ncores = 1\nmemory-mb = 260\nmax-fds = 4100\nlink-mbps = 1000.0\n[platform]\naddress = " << quotedLoopback(store_.port())
+         << "[limits]\ncpu-share = 0.2\ncores = 1\nmemory-mb = 260\nmax-fds = 4100\nlink-mbps = 1000.0\n[platform]\naddress = " << quotedLoopback(storePort_)
          << "form = \"objects\"\nwrites-per-s = 400\nreads-per-s = 2000\nhistory-s = 20\nvalue-bytes = 1048576\n";
     return text.str();
 }
--- a/review/support-3/smallfleet.h
+++ b/review/support-3/smallfleet.h
@@ -104,6 +104,10 @@
 
     void addUpstream(const std::string &id, const std::string &zone, int workMs);
     void addVm(const std::string &zone);
+    /// Adds a service of that name with a route for its requests to later manifests; upstreams of the fleet don't belong to it.
+    void addService(const std::string &name);
+    /// The VMs reach the store at @p port, behind which is the fleet's own.
+    void setStorePort(std::uint16_t port);
     void putManifest(int version);
     /// Starts all VMs and waits until they are ready; false if they aren't in time.
     [[nodiscard]] bool start();
@@ -132,6 +136,8 @@
     const std::vector<std::string> bounds_;
     std::string directory_;
     StandIns::FakeObjectStore store_;
+    std::uint16_t storePort_;
+    std::vector<std::string> services_;
     std::vector<std::unique_ptr<Upstream>> upstreams_;
     std::vector<EntryPlace> places_;
     std::vector<std::string> settingsFiles_;
