--- a/review/14/twopages.cpp
+++ b/review/14/twopages.cpp
@@ -28,6 +28,8 @@
 constexpr std::int64_t cutAfterMs = 3'500;
 // How far a stale read is behind: the site's days name 6 s.
 constexpr std::int64_t staleMs = 5'000;
+// How long stale reads are behind from the cut on.
+constexpr std::int64_t staleForMs = 1'000;
 constexpr std::int64_t observedMs = 30'000;
 constexpr int callersPerVm = 1;
 constexpr int requestsPerSecond = 1;
@@ -146,13 +148,16 @@
     const std::int64_t acknowledgedAt = nowMs();
     record.write("store    acknowledges that " + leavingId + " is draining");
     sleepMs(cutAfterMs);
-    const std::int64_t cutAt = nowMs();
     if (trouble) {
         front.setLaterPagesAge(staleMs);
         record.write("store    cuts off the waiting watches");
         fleet.store().setFaults({});
+        sleepMs(staleForMs);
+        front.setLaterPagesAge(0);
+        record.write("store    all reads are up to date");
     }
-    sleepMs(observedMs - cutAfterMs);
+    const std::int64_t calmAt = nowMs();
+    sleepMs(acknowledgedAt + observedMs - calmAt);
     fleet.stopCallers();
 
     int late = 0;
@@ -164,12 +169,12 @@
             continue;
         }
         ++late;
-        lateInTouch += sentAt > cutAt + stabilityWindowMs ? 1 : 0;
+        lateInTouch += sentAt > calmAt + stabilityWindowMs ? 1 : 0;
         lastAfterMs = std::max(lastAfterMs, arrival.atMs - acknowledgedAt);
     }
     std::cout << late << " requests reached " << leavingId << " later than " << drainMs << " ms after the store had acknowledged that it drains, the last one "
               << lastAfterMs << " ms after it; " << lateInTouch << " of them were sent later than " << stabilityWindowMs
-              << " ms after the watches were cut; pages from before: " << front.olderPages() << "; answered in all: " << fleet.answered() << "\n";
+              << " ms after the store was calm again; pages from before: " << front.olderPages() << "; answered in all: " << fleet.answered() << "\n";
     if (fleet.answered() == 0 || (trouble && front.olderPages() == 0)) {
         return couldNotRun;
     }
