--- a/src/libs/nodes/heartbeatexchange.cpp
+++ b/src/libs/nodes/heartbeatexchange.cpp
@@ -142,7 +142,7 @@
 void HeartbeatExchange::applyDatagram(const PeerDatagram &datagram, Base::MonotonicMs now)
 {
     for (const PeerReport &report : datagram.reports) {
-        board_.applyReport(report, now);
+        board_.applyReport(report, datagram.reports.front().vm, now);
     }
     if (!datagram.reports.empty() && board_.isRegistered(datagram.reports.front().vm)) {
         revisions_.receive(datagram.revisions, datagram.readsLatest && board_.isZonePeer(datagram.reports.front().vm), now, datagram.era);
@@ -159,7 +159,8 @@
         send(request, {vm.ip, vm.peerPort});
     }
     for (const PeerChange &change : board_.takeChanges(now)) {
-        Base::log(Base::LogLevel::Info, change.alive ? "peer-living" : "peer-silent", {{"vm", change.vm}, {"ageMs", change.ageMs}});
+        Base::log(
+            Base::LogLevel::Info, change.alive ? "peer-living" : "peer-silent", {{"vm", change.vm}, {"ageMs", change.ageMs}, {"reporter", change.reporter}});
     }
     return heartbeatIntervalMs;
 }
--- a/src/libs/nodes/peermembership.cpp
+++ b/src/libs/nodes/peermembership.cpp
@@ -27,7 +27,7 @@
     }
 }
 
-void PeerMembership::applyReport(const PeerReport &report, Base::MonotonicMs now)
+void PeerMembership::applyReport(const PeerReport &report, const std::string &reporter, Base::MonotonicMs now)
 {
     const std::lock_guard lock(mutex_);
     const auto found = peers_.find(report.vm);
@@ -42,6 +42,7 @@
     peer.acceptsCallers = report.acceptsCallers;
     peer.incarnation = report.incarnation;
     peer.lastHeartbeatAt = lastHeartbeatAt;
+    peer.reporter = reporter;
 }
 
 void PeerMembership::setAcceptsCallers(bool accepts)
@@ -160,7 +161,7 @@
         const bool alive = isAlive(peer, now) && peer.acceptsCallers;
         if (alive != peer.reportedAlive) {
             peer.reportedAlive = alive;
-            changes.push_back({name, alive, peer.lastHeartbeatAt ? now - *peer.lastHeartbeatAt : -1});
+            changes.push_back({name, alive, peer.lastHeartbeatAt ? now - *peer.lastHeartbeatAt : -1, peer.reporter});
         }
     }
     return changes;
--- a/src/libs/nodes/peermembership.h
+++ b/src/libs/nodes/peermembership.h
@@ -30,6 +30,8 @@
     bool alive = false;
     /// Time since its last heartbeat in ms; -1 if there was none.
     std::int64_t ageMs = 0;
+    /// VM that reported this heartbeat; empty if there was none.
+    std::string reporter;
 
     auto operator<=>(const PeerChange &) const = default;
 };
@@ -44,8 +46,8 @@
 
     /// Replaces the set of registered VMs; the state of VMs that are no longer in it is dropped.
     void setRegisteredVms(const std::map<std::string, Steering::EntryVm> &vms);
-    /// Ignores reports on unregistered VMs, and those older than what is already recorded.
-    void applyReport(const PeerReport &report, Base::MonotonicMs now);
+    /// Applies what the VM @p reporter reports. Ignores reports on unregistered VMs, and those older than what is already recorded.
+    void applyReport(const PeerReport &report, const std::string &reporter, Base::MonotonicMs now);
     /// Sets whether this VM accepts callers; false until it is ready and once it is stopping.
     void setAcceptsCallers(bool accepts);
 
@@ -75,6 +77,8 @@
         bool acceptsCallers = false;
         /// Empty until the first heartbeat.
         std::optional<Base::MonotonicMs> lastHeartbeatAt;
+        /// VM that reported the last heartbeat.
+        std::string reporter;
         /// State that takeChanges() returned last.
         bool reportedAlive = false;
     };
--- a/tests/auto/entry/tst_units.cpp
+++ b/tests/auto/entry/tst_units.cpp
@@ -132,22 +132,22 @@
 
 TEST_CASE_FIXTURE(PeerBoardFixture, "peer_withoutHeartbeatForTheTimeout_isNoLongerListed")
 {
-    board.applyReport({"vm-2", 1, true, 0}, 1'000);
+    board.applyReport({"vm-2", 1, true, 0}, "vm-2", 1'000);
     CHECK(listedVms(3'600) == Names{"vm-1", "vm-2"});
     CHECK(listedVms(3'601) == Names{"vm-1"});
 }
 
 TEST_CASE_FIXTURE(PeerBoardFixture, "peer_reportsStopping_isRemovedAtOnceAndOlderReportsDoNotRestoreIt")
 {
-    board.applyReport({"vm-2", 1, true, 0}, 1'000);
-    board.applyReport({"vm-2", 1, false, 0}, 1'100);
-    board.applyReport({"vm-2", 1, true, 300}, 1'200);
+    board.applyReport({"vm-2", 1, true, 0}, "vm-2", 1'000);
+    board.applyReport({"vm-2", 1, false, 0}, "vm-2", 1'100);
+    board.applyReport({"vm-2", 1, true, 300}, "vm-2", 1'200);
     CHECK(listedVms(1'200) == Names{"vm-1"});
 }
 
 TEST_CASE_FIXTURE(PeerBoardFixture, "peer_reportedByAnotherPeer_keepsTheAgeOfItsHeartbeat")
 {
-    board.applyReport({"vm-4", 1, true, 2'000}, 1'000);
+    board.applyReport({"vm-4", 1, true, 2'000}, "vm-4", 1'000);
     CHECK(listedVms(1'600) == Names{"vm-1", "vm-4"});
     CHECK(listedVms(1'601) == Names{"vm-1"});
 }
