--- a/src/libs/nodes/heartbeatexchange.cpp
+++ b/src/libs/nodes/heartbeatexchange.cpp
@@ -25,8 +25,11 @@
 constexpr std::size_t maxDatagramBytes = 8 * 1024;
 constexpr std::size_t maxReports = 256;
 constexpr std::size_t fieldsPerReport = 4;
-// Whether the digest is requested, reports, whether the sender reads the latest state, revisions; then the era, if there is one.
-constexpr std::size_t fieldsPerDatagram = 4;
+// Whether the digest is requested, reports, whether the sender reads the latest state, time of sending, revisions; then the era, if there
+// is one. Releases without the time have the revisions in its place, so that neither reads the datagrams of the other.
+constexpr std::size_t fieldsPerDatagram = 5;
+// Keeps differences of times within 64 bits.
+constexpr std::uint64_t maxSentAt = std::uint64_t{1} << 53;
 // A datagram is an array that holds an array of reports, each an array.
 constexpr int maxDepth = 3;
 
@@ -63,7 +66,7 @@
     for (const PeerReport &report : datagram.reports) {
         reports.push_back({report.vm, report.incarnation, report.acceptsCallers, report.ageMs});
     }
-    Json fields = Json::array({datagram.digestRequested, std::move(reports), datagram.readsLatest, datagram.revisions});
+    Json fields = Json::array({datagram.digestRequested, std::move(reports), datagram.readsLatest, datagram.sentAt, datagram.revisions});
     if (datagram.era != 0) {
         fields.push_back(datagram.era);
     }
@@ -79,12 +82,13 @@
     const Json &json = *read;
     const bool hasEra = json.is_array() && json.size() == fieldsPerDatagram + 1 && json[fieldsPerDatagram].is_number_unsigned();
     const bool valid = json.is_array() && (json.size() == fieldsPerDatagram || hasEra) && json[0].is_boolean() && json[1].is_array()
-        && json[1].size() <= maxReports && json[2].is_boolean();
-    const auto revisions = valid ? decodeRevisions(json[3]) : std::nullopt;
+        && json[1].size() <= maxReports && json[2].is_boolean() && json[3].is_number_unsigned() && json[3].get<std::uint64_t>() <= maxSentAt;
+    const auto revisions = valid ? decodeRevisions(json[4]) : std::nullopt;
     if (!revisions) {
         return std::nullopt;
     }
-    PeerDatagram datagram{json[0].get<bool>(), {}, json[2].get<bool>(), *revisions, hasEra ? json[fieldsPerDatagram].get<StoreEra>() : 0};
+    PeerDatagram datagram{
+        json[0].get<bool>(), {}, json[2].get<bool>(), *revisions, hasEra ? json[fieldsPerDatagram].get<StoreEra>() : 0, json[3].get<Base::MonotonicMs>()};
     for (const Json &entry : json[1]) {
         const auto report = decodeReport(entry);
         if (!report) {
@@ -116,7 +120,7 @@
 
 void HeartbeatExchange::announce(const std::vector<Steering::EntryVm> &vms)
 {
-    const PeerDatagram datagram = makeDatagram(false, {board_.selfReport()});
+    const PeerDatagram datagram = makeDatagram(false, {board_.selfReport()}, clock_.monotonic());
     for (const Steering::EntryVm &vm : vms) {
         send(datagram, {vm.ip, vm.peerPort});
     }
@@ -127,10 +131,10 @@
     announce(board_.zonePeers());
 }
 
-PeerDatagram HeartbeatExchange::makeDatagram(bool digestRequested, std::vector<PeerReport> reports) const
+PeerDatagram HeartbeatExchange::makeDatagram(bool digestRequested, std::vector<PeerReport> reports, Base::MonotonicMs measuredAt) const
 {
     const EraRevisions read = revisions_.ownState();
-    return {digestRequested, std::move(reports), revisions_.readsLatest(), read.revisions, read.era};
+    return {digestRequested, std::move(reports), revisions_.readsLatest(), read.revisions, read.era, measuredAt};
 }
 
 void HeartbeatExchange::updateElectedReader(Base::MonotonicMs now)
@@ -139,13 +143,31 @@
     revisions_.setElected(isElectedReader(board_.zone(), self.vm, board_.aliveZonePeers(now)));
 }
 
-void HeartbeatExchange::applyDatagram(const PeerDatagram &datagram, Base::MonotonicMs now)
+std::int64_t HeartbeatExchange::delayOf(const PeerDatagram &datagram, Base::MonotonicMs arrivedAfter, Base::MonotonicMs readAt)
 {
+    const Steering::MessageTimes times{datagram.sentAt, arrivedAfter, readAt};
+    if (datagram.reports.empty() || !board_.isRegistered(datagram.reports.front().vm)) {
+        return Steering::MessageDelay().record(times);
+    }
+    const PeerReport &self = datagram.reports.front();
+    if (!senders_.contains(self.vm)) {
+        std::erase_if(senders_, [this](const auto &entry) { return !board_.isRegistered(entry.first); });
+    }
+    Sender &sender = senders_[self.vm];
+    if (sender.incarnation != self.incarnation) {
+        sender = {self.incarnation, {}};
+    }
+    return sender.delay.record(times);
+}
+
+void HeartbeatExchange::applyDatagram(const PeerDatagram &datagram, Base::MonotonicMs arrivedAfter, Base::MonotonicMs readAt)
+{
+    const Base::MonotonicMs sentAt = readAt - delayOf(datagram, arrivedAfter, readAt);
     for (const PeerReport &report : datagram.reports) {
-        board_.applyReport(report, datagram.reports.front().vm, now);
+        board_.applyReport(report, datagram.reports.front().vm, sentAt);
     }
     if (!datagram.reports.empty() && board_.isRegistered(datagram.reports.front().vm)) {
-        revisions_.receive(datagram.revisions, datagram.readsLatest && board_.isZonePeer(datagram.reports.front().vm), now, datagram.era);
+        revisions_.receive(datagram.revisions, datagram.readsLatest && board_.isZonePeer(datagram.reports.front().vm), sentAt, datagram.era);
     }
 }
 
@@ -154,7 +176,7 @@
     const Base::MonotonicMs now = clock_.monotonic();
     updateElectedReader(now);
     announce(board_.zonePeers());
-    const PeerDatagram request = makeDatagram(true, {board_.selfReport()});
+    const PeerDatagram request = makeDatagram(true, {board_.selfReport()}, clock_.monotonic());
     for (const Steering::EntryVm &vm : board_.onePeerPerOtherZone(now, random_())) {
         send(request, {vm.ip, vm.peerPort});
     }
@@ -167,24 +189,18 @@
 
 void HeartbeatExchange::receiveLoop()
 {
-    std::array<std::uint8_t, maxDatagramBytes> buffer;
+    Base::MonotonicMs arrivedAfter = clock_.monotonic();
     while (!closing_) {
         try {
-            if (!socket_.poll(Poco::Timespan(receivePollMs * Poco::Timespan::MILLISECONDS), Poco::Net::Socket::SELECT_READ)) {
-                continue;
-            }
-            Poco::Net::SocketAddress sender;
-            const int size = socket_.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
-            const auto datagram = size > 0 ? decodeDatagram(buffer.data(), static_cast<std::size_t>(size)) : std::nullopt;
-            if (!datagram) {
-                Base::log(Base::LogLevel::Debug, "datagram-unreadable", {{"sender", sender.toString()}, {"bytes", size}});
-                continue;
-            }
             const Base::MonotonicMs now = clock_.monotonic();
-            applyDatagram(*datagram, now);
-            if (datagram->digestRequested) {
-                send(makeDatagram(false, board_.zoneDigest(now)), sender);
+            if (!socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+                arrivedAfter = now;
+                recordListening(now);
+                if (!socket_.poll(Poco::Timespan(receivePollMs * Poco::Timespan::MILLISECONDS), Poco::Net::Socket::SELECT_READ)) {
+                    continue;
+                }
             }
+            receiveOne(arrivedAfter);
         } catch (const std::exception &error) {
             // An unreachable peer can surface as an error of the next receive; only a heartbeat timeout makes it dead.
             Base::log(Base::LogLevel::Debug, "datagram-failed", {{"cause", error.what()}});
@@ -192,6 +208,30 @@
     }
 }
 
+void HeartbeatExchange::recordListening(Base::MonotonicMs now)
+{
+    if (const std::int64_t standstillMs = board_.recordListening(now); standstillMs > 0) {
+        Base::log(Base::LogLevel::Warning, "stood-still", {{"vm", board_.selfReport().vm}, {"standstillMs", standstillMs}});
+    }
+}
+
+void HeartbeatExchange::receiveOne(Base::MonotonicMs arrivedAfter)
+{
+    std::array<std::uint8_t, maxDatagramBytes> buffer;
+    Poco::Net::SocketAddress sender;
+    const int size = socket_.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
+    const auto datagram = size > 0 ? decodeDatagram(buffer.data(), static_cast<std::size_t>(size)) : std::nullopt;
+    if (!datagram) {
+        Base::log(Base::LogLevel::Debug, "datagram-unreadable", {{"sender", sender.toString()}, {"bytes", size}});
+        return;
+    }
+    const Base::MonotonicMs now = clock_.monotonic();
+    applyDatagram(*datagram, arrivedAfter, now);
+    if (datagram->digestRequested) {
+        send(makeDatagram(false, board_.zoneDigest(now), now), sender);
+    }
+}
+
 void HeartbeatExchange::send(const PeerDatagram &datagram, const Poco::Net::SocketAddress &address)
 {
     const std::vector<std::uint8_t> bytes = encodeDatagram(datagram);
--- a/src/libs/nodes/heartbeatexchange.h
+++ b/src/libs/nodes/heartbeatexchange.h
@@ -4,11 +4,13 @@
 #include "revisiontracker.h"
 
 #include <base/worker.h>
+#include <steering/messagedelay.h>
 
 #include <Poco/Net/DatagramSocket.h>
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <thread>
@@ -28,6 +30,8 @@
     ChangeRevisions revisions{};
     /// Era of these revisions; sent only when the store states one.
     StoreEra era = 0;
+    /// When the ages in the reports were measured, by the sender's monotonic clock.
+    Base::MonotonicMs sentAt = 0;
 
     bool operator==(const PeerDatagram &) const = default;
 };
@@ -54,12 +58,23 @@
     void announceRevisions();
 
 private:
+    struct Sender {
+        std::uint64_t incarnation = 0;
+        Steering::MessageDelay delay;
+    };
+
     std::int64_t tick();
     /// Repeats the election of the zone's readers among the VMs that are alive.
     void updateElectedReader(Base::MonotonicMs now);
-    void applyDatagram(const PeerDatagram &datagram, Base::MonotonicMs now);
-    [[nodiscard]] PeerDatagram makeDatagram(bool digestRequested, std::vector<PeerReport> reports) const;
+    /// @p arrivedAfter: all that had arrived before has been read.
+    void applyDatagram(const PeerDatagram &datagram, Base::MonotonicMs arrivedAfter, Base::MonotonicMs readAt);
+    /// Time for which @p datagram was under way or waited to be read.
+    [[nodiscard]] std::int64_t delayOf(const PeerDatagram &datagram, Base::MonotonicMs arrivedAfter, Base::MonotonicMs readAt);
+    /// @p measuredAt: when the ages in @p reports were measured.
+    [[nodiscard]] PeerDatagram makeDatagram(bool digestRequested, std::vector<PeerReport> reports, Base::MonotonicMs measuredAt) const;
     void receiveLoop();
+    void receiveOne(Base::MonotonicMs arrivedAfter);
+    void recordListening(Base::MonotonicMs now);
     void send(const PeerDatagram &datagram, const Poco::Net::SocketAddress &address);
 
     PeerMembership &board_;
@@ -67,6 +82,8 @@
     const Base::Clock &clock_;
     Poco::Net::DatagramSocket socket_;
     std::mt19937_64 random_;
+    /// Delays by sender; used by the receiver's thread only.
+    std::map<std::string, Sender> senders_;
     std::atomic<bool> closing_{false};
     std::thread receiver_;
     std::unique_ptr<Base::Worker> heartbeatWorker_;
--- a/src/libs/nodes/mesh.cpp
+++ b/src/libs/nodes/mesh.cpp
@@ -67,7 +67,7 @@
     link.outgoing = outgoing;
     link.open = true;
     link.remoteHost = remoteHost;
-    link.lastReceivedAt = clock_.monotonic();
+    link.aliveAt = clock_.monotonic();
     transport_.send(id, encodeMessage(Hello{settings_.self, settings_.incarnation}));
 }
 
@@ -89,7 +89,6 @@
             transport_.close(id);
             return;
         }
-        link.lastReceivedAt = clock_.monotonic();
         std::visit([&](const auto &typed) { handle(id, link, typed, calls); }, *message);
     }
     for (const auto &call : calls) {
@@ -175,7 +174,7 @@
     const Base::MonotonicMs now = clock_.monotonic();
     for (const auto &[id, link] : links_) {
         const Base::MonotonicMs limit = link.helloReceived ? suspectAfterMs : helloTimeoutMs;
-        if (link.open && now - link.lastReceivedAt >= limit) {
+        if (link.open && now - link.aliveAt >= limit) {
             transport_.close(id);
         }
     }
@@ -221,7 +220,7 @@
     Link &link = links_[id];
     link.outgoing = true;
     link.node = key;
-    link.lastReceivedAt = now;
+    link.aliveAt = now;
 }
 
 void Mesh::sendHeartbeat(ConnectionId id, Link &link)
@@ -236,6 +235,7 @@
     }
     heartbeat.listVersion = peers_.list().version;
     heartbeat.available = available_;
+    heartbeat.sentAt = clock_.monotonic();
     const Vm *own = peers_.self();
     if (own && peers_.isOwnRelay(own->id)) {
         const bool sameZone = peers_.zoneOf(link.node) == own->zone;
@@ -245,7 +245,7 @@
             }
         }
     }
-    link.lastHeartbeatSentAt = clock_.monotonic();
+    link.lastHeartbeatSentAt = heartbeat.sentAt;
     transport_.send(id, encodeMessage(heartbeat));
 }
 
@@ -341,7 +341,7 @@
     const Base::MonotonicMs now = clock_.monotonic();
     return std::any_of(links_.begin(), links_.end(), [&](const auto &entry) {
         const Link &link = entry.second;
-        return link.helloReceived && now - link.lastReceivedAt < suspectAfterMs && std::find(relays.begin(), relays.end(), link.node) != relays.end();
+        return link.helloReceived && now - link.aliveAt < suspectAfterMs && std::find(relays.begin(), relays.end(), link.node) != relays.end();
     });
 }
 
--- a/src/libs/nodes/mesh.h
+++ b/src/libs/nodes/mesh.h
@@ -9,6 +9,7 @@
 #include <base/settings.h>
 #include <base/timeline.h>
 #include <platform/objectstore.h>
+#include <steering/messagedelay.h>
 
 #include <condition_variable>
 #include <functional>
@@ -56,7 +57,7 @@
 {
 public:
     static constexpr Base::MonotonicMs heartbeatMs = 3'000;
-    /// A connection without a message for this long is closed; the peer is dialled again and suspected if that fails.
+    /// A connection without a heartbeat for this long is closed; the peer is dialled again and suspected if that fails.
     static constexpr Base::MonotonicMs suspectAfterMs = 10'000;
 
     Mesh(Transport &transport, const Base::Clock &clock, Base::HybridClock &hybridClock, Base::Timeline &timeline, MeshSettings settings);
@@ -77,7 +78,7 @@
     [[nodiscard]] bool isRelay() const;
     /// True on the relay that collects the reports of @p group of its zone.
     [[nodiscard]] bool collectsReportsOf(std::size_t group) const;
-    /// True if a message from a relay of this zone was received within suspectAfterMs.
+    /// True if a relay of this zone has sent a heartbeat within suspectAfterMs.
     [[nodiscard]] bool hasAliveRelay() const;
     /// Number of connected peers from which a heartbeat was received.
     [[nodiscard]] std::size_t peersWithHeartbeat() const;
@@ -92,7 +93,9 @@
         std::string node;
         std::uint64_t incarnation = 0;
         bool helloReceived = false;
-        Base::MonotonicMs lastReceivedAt = 0;
+        /// When the last heartbeat was sent, by this VM's clock; until the first one, when the connection was opened.
+        Base::MonotonicMs aliveAt = 0;
+        Steering::MessageDelay heartbeatDelay;
         Base::MonotonicMs lastHeartbeatSentAt = 0;
         std::optional<Heartbeat> lastHeartbeat;
         std::uint64_t lastEventSent = 0;
--- a/src/libs/nodes/meshmessages.cpp
+++ b/src/libs/nodes/meshmessages.cpp
@@ -2,6 +2,8 @@
 
 #include <base/log.h>
 
+#include <algorithm>
+
 /// What the mesh does with each type of message.
 namespace Wasabistair::Nodes {
 
@@ -45,11 +47,13 @@
     }
     hybridClock_.merge(heartbeat.time);
     link.lastHeartbeat = heartbeat;
+    const Base::MonotonicMs now = clock_.monotonic();
+    const std::int64_t delayMs = heartbeat.sentAt == 0 ? 0 : link.heartbeatDelay.record({heartbeat.sentAt, now, now});
+    link.aliveAt = std::max(link.aliveAt, now - delayMs);
     calls.push_back(handlers_.contact);
     if (heartbeat.generation > generation_ && !heartbeat.manifestDigest.empty()) {
         calls.push_back([this, heartbeat] { handlers_.newerGenerationReceived(heartbeat.generation, heartbeat.manifestDigest); });
     }
-    const Base::MonotonicMs now = clock_.monotonic();
     if (heartbeat.listVersion > peers_.list().version && now - lastListRequest_ >= listRequestIntervalMs) {
         lastListRequest_ = now;
         transport_.send(id, encodeMessage(ListRequest{peers_.list().version}));
--- a/src/libs/nodes/message.cpp
+++ b/src/libs/nodes/message.cpp
@@ -11,6 +11,8 @@
 using Json = nlohmann::json;
 
 constexpr int maxDepth = 6;
+// Keeps differences of times within 64 bits.
+constexpr Base::MonotonicMs maxSentAt = Base::MonotonicMs{1} << 53;
 
 enum class MessageType {
     Hello,
@@ -43,7 +45,7 @@
     Json operator()(const Heartbeat &heartbeat) const
     {
         return {MessageType::Heartbeat, heartbeat.sequence, heartbeat.time.wall, heartbeat.time.logical, heartbeat.generation, heartbeat.manifestDigest,
-            heartbeat.listVersion, heartbeat.available, heartbeat.unavailable};
+            heartbeat.listVersion, heartbeat.available, heartbeat.unavailable, heartbeat.sentAt};
     }
 
     Json operator()(const PartRequest &request) const
@@ -87,7 +89,10 @@
     heartbeat.listVersion = json.at(6).get<std::uint64_t>();
     heartbeat.available = json.at(7).get<bool>();
     heartbeat.unavailable = json.at(8).get<std::vector<std::string>>();
-    return heartbeat.unavailable.size() <= maxUnavailable ? std::optional<Message>(std::move(heartbeat)) : std::nullopt;
+    constexpr std::size_t sentAtIndex = 9;
+    heartbeat.sentAt = json.size() > sentAtIndex ? json[sentAtIndex].get<Base::MonotonicMs>() : 0;
+    const bool valid = heartbeat.unavailable.size() <= maxUnavailable && heartbeat.sentAt >= 0 && heartbeat.sentAt <= maxSentAt;
+    return valid ? std::optional<Message>(std::move(heartbeat)) : std::nullopt;
 }
 
 std::optional<Message> decodeByType(const Json &json)
--- a/src/libs/nodes/message.h
+++ b/src/libs/nodes/message.h
@@ -37,6 +37,8 @@
     /// Entry VMs that the sender considers unavailable. Sent by relays only: to relays of other zones those of its own zone, to
     /// VMs of its own zone all of them.
     std::vector<std::string> unavailable;
+    /// When it was sent, by the sender's monotonic clock in ms; 0 from a release that doesn't state it.
+    Base::MonotonicMs sentAt = 0;
 
     bool operator==(const Heartbeat &) const = default;
 };
--- a/src/libs/nodes/peermembership.cpp
+++ b/src/libs/nodes/peermembership.cpp
@@ -1,9 +1,17 @@
 #include "peermembership.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Wasabistair::Nodes {
 
+namespace {
+
+// Two heartbeats, one per second, and their delay.
+constexpr std::int64_t holdAfterStandstillMs = 2'200;
+
+} // namespace
+
 PeerMembership::PeerMembership(Steering::EntryVm self, std::int64_t timeoutMs)
     : self_(std::move(self))
     , timeoutMs_(timeoutMs)
@@ -27,7 +35,7 @@
     }
 }
 
-void PeerMembership::applyReport(const PeerReport &report, const std::string &reporter, Base::MonotonicMs now)
+void PeerMembership::applyReport(const PeerReport &report, const std::string &reporter, Base::MonotonicMs reportedAt)
 {
     const std::lock_guard lock(mutex_);
     const auto found = peers_.find(report.vm);
@@ -35,7 +43,7 @@
         return;
     }
     Peer &peer = found->second;
-    const Base::MonotonicMs lastHeartbeatAt = now - std::max<std::int64_t>(0, report.ageMs);
+    const Base::MonotonicMs lastHeartbeatAt = reportedAt - std::max<std::int64_t>(0, report.ageMs);
     if (peer.lastHeartbeatAt && lastHeartbeatAt < *peer.lastHeartbeatAt) {
         return;
     }
@@ -51,9 +59,28 @@
     acceptsCallers_ = accepts;
 }
 
+std::int64_t PeerMembership::recordListening(Base::MonotonicMs now)
+{
+    const std::lock_guard lock(mutex_);
+    const Base::MonotonicMs before = std::exchange(listenedAt_, now).value_or(now);
+    if (now - before <= maxListeningGapMs) {
+        return 0;
+    }
+    // Peers that could not be heard since the standstill before are held on.
+    stoodStillAt_ = before < heldUntil_ ? stoodStillAt_ : before;
+    heldUntil_ = now + holdAfterStandstillMs;
+    return now - before;
+}
+
 bool PeerMembership::isAlive(const Peer &peer, Base::MonotonicMs now) const
 {
-    return peer.lastHeartbeatAt && now - *peer.lastHeartbeatAt <= timeoutMs_;
+    if (!peer.lastHeartbeatAt) {
+        return false;
+    }
+    // The thread that listens may not have run yet after a standstill.
+    const Base::MonotonicMs listenedUntil = listenedAt_ && now - *listenedAt_ > maxListeningGapMs ? *listenedAt_ : now;
+    const Base::MonotonicMs judgedAt = listenedUntil < heldUntil_ ? stoodStillAt_ : listenedUntil;
+    return judgedAt - *peer.lastHeartbeatAt <= timeoutMs_;
 }
 
 std::vector<Steering::EntryVm> PeerMembership::vmsAcceptingCallers(Base::MonotonicMs now) const
--- a/src/libs/nodes/peermembership.h
+++ b/src/libs/nodes/peermembership.h
@@ -41,13 +41,20 @@
 class PeerMembership
 {
 public:
+    static constexpr std::int64_t maxListeningGapMs = 1'500;
+
     /// A VM counts as dead when its last heartbeat is older than @p timeoutMs.
     PeerMembership(Steering::EntryVm self, std::int64_t timeoutMs);
 
     /// Replaces the set of registered VMs; the state of VMs that are no longer in it is dropped.
     void setRegisteredVms(const std::map<std::string, Steering::EntryVm> &vms);
-    /// Applies what the VM @p reporter reports. Ignores reports on unregistered VMs, and those older than what is already recorded.
-    void applyReport(const PeerReport &report, const std::string &reporter, Base::MonotonicMs now);
+    /// Applies what the VM @p reporter reported at @p reportedAt. Ignores reports on unregistered VMs, and those older than what is already
+    /// recorded.
+    void applyReport(const PeerReport &report, const std::string &reporter, Base::MonotonicMs reportedAt);
+    /// This VM has read all heartbeats that had arrived by now; to be called at least every maxListeningGapMs. When the last call is longer
+    /// ago, this VM stood still and couldn't hear its peers: it goes on with what it knew until they had the time to be heard again. Returns
+    /// the length of the standstill, 0 if there was none.
+    std::int64_t recordListening(Base::MonotonicMs now);
     /// Sets whether this VM accepts callers; false until it is ready and once it is stopping.
     void setAcceptsCallers(bool accepts);
 
@@ -90,6 +97,11 @@
     mutable std::mutex mutex_;
     bool acceptsCallers_ = false;
     std::map<std::string, Peer> peers_;
+    /// Last call of recordListening().
+    std::optional<Base::MonotonicMs> listenedAt_;
+    /// The last standstill began after the first of these times; until the second one, peers that were alive then count as alive.
+    Base::MonotonicMs stoodStillAt_ = 0;
+    Base::MonotonicMs heldUntil_ = 0;
 };
 
 } // namespace Wasabistair::Nodes
--- a/src/libs/nodes/revisiontracker.cpp
+++ b/src/libs/nodes/revisiontracker.cpp
@@ -55,7 +55,7 @@
     }
 }
 
-void RevisionTracker::receive(const ChangeRevisions &revisions, bool fromReader, Base::MonotonicMs now, StoreEra era)
+void RevisionTracker::receive(const ChangeRevisions &revisions, bool fromReader, Base::MonotonicMs sentAt, StoreEra era)
 {
     const std::lock_guard lock(mutex_);
     enterConfirmedEra();
@@ -67,8 +67,8 @@
         latestRevisions_.at(i) = std::max(latestRevisions_.at(i), revisions.at(i));
     }
     if (fromReader) {
-        lastReaderHeartbeatAt_ = now;
-        confirmConfiguration(now);
+        lastReaderHeartbeatAt_ = std::max(lastReaderHeartbeatAt_.value_or(sentAt), sentAt);
+        confirmConfiguration(sentAt);
     }
 }
 
@@ -78,12 +78,12 @@
     confirmConfiguration(now);
 }
 
-void RevisionTracker::confirmConfiguration(Base::MonotonicMs now)
+void RevisionTracker::confirmConfiguration(Base::MonotonicMs at)
 {
     enterConfirmedEra();
     const std::size_t kind = indexOf(StoreChangeKind::Configuration);
     if (ownRevisions_.at(kind) >= latestRevisions_.at(kind)) {
-        configurationConfirmedAt_ = now;
+        configurationConfirmedAt_ = std::max(configurationConfirmedAt_.value_or(at), at);
     }
 }
 
--- a/src/libs/nodes/revisiontracker.h
+++ b/src/libs/nodes/revisiontracker.h
@@ -75,10 +75,10 @@
     [[nodiscard]] StoreEraTracker &eras();
     [[nodiscard]] const StoreEraTracker &eras() const;
 
-    /// Records the revisions of a heartbeat. @p fromReader: the sender is in this zone, reads the store's latest state, and the
-    /// store is reachable for it. @p era: the sender's; revisions of another era than this VM's are not taken, and an older sender doesn't
+    /// Records the revisions of a heartbeat that was sent at @p sentAt. @p fromReader: the sender is in this zone, reads the store's latest
+    /// state, and the store is reachable for it. @p era: the sender's; revisions of another era than this VM's are not taken, and an older sender doesn't
     /// count as a reader.
-    void receive(const ChangeRevisions &revisions, bool fromReader, Base::MonotonicMs now, StoreEra era = 0);
+    void receive(const ChangeRevisions &revisions, bool fromReader, Base::MonotonicMs sentAt, StoreEra era = 0);
     /// Records a change that this VM has read itself in @p era.
     void recordRead(StoreChangeKind kind, std::uint64_t revision, StoreEra era = 0);
     /// Records that the store's latest state is of revision @p asOf: later revisions received in heartbeats are wrong and dropped.
@@ -106,7 +106,7 @@
 
 private:
     /// Requires that mutex_ is locked.
-    void confirmConfiguration(Base::MonotonicMs now);
+    void confirmConfiguration(Base::MonotonicMs at);
     /// Forgets the revisions if the store has entered a later era. The mutex must be locked.
     void enterConfirmedEra() const;
 
--- a/tests/auto/nodes/tst_mesh.cpp
+++ b/tests/auto/nodes/tst_mesh.cpp
@@ -151,6 +151,33 @@
     CHECK(StandIns::eventually([&] { return nodes[0]->timeline.all().back().kind == Base::EventKind::PeerDown; }, waitMs));
 }
 
+// Guards against a peer that was lost while this VM stood still, and counts as connected since its last heartbeats were read.
+TEST_CASE_FIXTURE(MeshFixture, "mesh_heartbeatReadLate_countsFromItsSending")
+{
+    REQUIRE(StandIns::eventually([&] { return allLinked(); }, waitMs));
+    nodes[1].reset();
+    std::atomic<int> closed{0};
+    WebSocketTransport peer("127.0.0.1", StandIns::freePort());
+    peer.start({[](ConnectionId, bool, const std::string &) {}, [](ConnectionId, const std::string &) {}, [&](ConnectionId) { ++closed; }});
+    const ConnectionId id = peer.connect("127.0.0.1", list.vms[0].nodePort);
+    StandIns::sleepMs(300);
+    Heartbeat heartbeat;
+    heartbeat.sequence = 1;
+    heartbeat.sentAt = 1'000'000;
+    peer.send(id, encodeMessage(Hello{"n1", 1'000}));
+    peer.send(id, encodeMessage(heartbeat));
+    constexpr int lateMs = 7'000;
+    constexpr int toleranceMs = 2'000;
+    StandIns::sleepMs(lateMs);
+    heartbeat.sequence = 2;
+    heartbeat.sentAt += 1;
+    peer.send(id, encodeMessage(heartbeat));
+    REQUIRE(closed == 0);
+    CHECK(StandIns::eventually([&] { return closed == 1; }, static_cast<int>(Mesh::suspectAfterMs) - lateMs + toleranceMs));
+    peer.stop();
+    nodes.erase(nodes.begin() + 1);
+}
+
 TEST_CASE_FIXTURE(MeshFixture, "mesh_unlistedPeersAndInvalidMessages_areRejectedAndOthersStayConnected")
 {
     REQUIRE(StandIns::eventually([&] { return allLinked(); }, waitMs));
--- a/tests/auto/nodes/tst_storeera.cpp
+++ b/tests/auto/nodes/tst_storeera.cpp
@@ -91,8 +91,8 @@
 {
     PeerDatagram datagram{true, {{"vm-1", 3, true, 0}}, true, {1, 2, 3}};
     const auto plain = encodeDatagram(datagram);
-    // An array of four elements: its first byte in CBOR.
-    CHECK(plain.front() == 0x84);
+    // An array of five elements: its first byte in CBOR.
+    CHECK(plain.front() == 0x85);
     CHECK(decodeDatagram(plain.data(), plain.size()) == datagram);
     datagram.era = 7;
     const auto withEra = encodeDatagram(datagram);
