--- a/tests/auto/adapter/tst_objectwatcher.cpp
+++ b/tests/auto/adapter/tst_objectwatcher.cpp
@@ -15,8 +15,9 @@
 
 /// Keeps the names of the objects that a watcher reports.
 struct WatcherFixture {
-    explicit WatcherFixture(const StalenessCallbacks &staleness = {}, WatchPacing pacing = longWatches)
-        : watcher("things", {"127.0.0.1", store.port()}, pacing, clock, counters, eras, callbacks(), staleness, circuitBreaker, 1)
+    explicit WatcherFixture(const StalenessCallbacks &staleness = {}, WatchPacing pacing = longWatches, std::size_t pageSize = 50)
+        : store(pageSize)
+        , watcher("things", {"127.0.0.1", store.port()}, pacing, clock, counters, eras, callbacks(), staleness, circuitBreaker, 1)
     {
         watcher.start();
     }
@@ -81,11 +82,11 @@
 
 /// A watcher whose staleness callbacks return what the test sets.
 struct StalenessFixture: WatcherFixture {
-    explicit StalenessFixture(WatchPacing pacing = longWatches)
+    explicit StalenessFixture(WatchPacing pacing = longWatches, std::size_t pageSize = 50)
         : WatcherFixture(
             {[this] { return mustReadLatest.load(); }, [this] { return latestRevision.load(); },
                 [this](Revision revision, Nodes::StoreEra) { lastRead = revision; }, [this](Revision asOf, Nodes::StoreEra) { latestRevision = asOf; }},
-            pacing)
+            pacing, pageSize)
     {}
 
     /// Like waitFor(), but calls wakeIfStale() every 50 ms meanwhile.
@@ -112,6 +113,18 @@
     {}
 };
 
+/// Its lists have pages of two objects.
+struct PagesFixture: StalenessFixture {
+    PagesFixture()
+        : StalenessFixture(longWatches, 2)
+    {
+        for (const std::string name : {"a", "b", "c", "left"}) {
+            store.put("things", name, 1);
+        }
+        REQUIRE(waitFor({"a", "b", "c", "left"}, 5'000));
+    }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(WatcherFixture, "watcher_objectsChange_updatesItsCopy")
@@ -221,6 +234,24 @@
     CHECK_FALSE(reappeared);
 }
 
+// Guards against a list whose second page is older than the copy, and which takes back what the VM knew (review/14).
+TEST_CASE_FIXTURE(PagesFixture, "watcher_laterPageAfterACutIsOlderThanWhatItKnows_listIsNotTaken")
+{
+    store.freezePages(StandIns::FakeObjectStore::Pages::Later);
+    store.remove("things", "left");
+    REQUIRE(waitFor({"a", "b", "c"}, 5'000));
+    const int lists = store.listCalls("things");
+    store.setFaults({});
+    CHECK(waitForWhilePolling({"a", "b", "c"}, 5'000));
+    // Two pages that may be stale, then two of the latest state.
+    for (int waited = 0; waited < 5'000 && store.listCalls("things") < lists + 4; waited += 10) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK(store.listCalls("things") == lists + 4);
+    CHECK(waitFor({"a", "b", "c"}, 5'000));
+    CHECK_FALSE(reappeared);
+}
+
 TEST_CASE_FIXTURE(StalenessFixture, "watcher_readersWatchMissesAReportedChange_isUpToDateLongBeforeTheWatchEnds")
 {
     // Guards against a VM that waits for the end of its watch, 13.5 s on the platform, although all its peers have read a newer manifest.
--- a/tests/auto/adapter/tst_storeclient.cpp
+++ b/tests/auto/adapter/tst_storeclient.cpp
@@ -42,6 +42,25 @@
     CHECK(list.value->asOf == 9);
 }
 
+// Guards against a change that a watch from the first page's revision passes, and that an older page lacks (review/14).
+TEST_CASE_FIXTURE(StoreClientFixture, "list_laterPageIsOlder_watchGoesOnFromTheOldestPage")
+{
+    for (const std::string name : {"a", "b", "c", "d"}) {
+        store.put("things", name, 1);
+    }
+    const std::uint64_t frozenAt = store.revision();
+    store.freezePages(StandIns::FakeObjectStore::Pages::Later);
+    store.put("things", "d", 2);
+    store.put("things", "e", 1);
+    const auto list = tryStoreCall([&] { return client.list("things", Freshness::MayBeStale); });
+    REQUIRE(list);
+    CHECK(list.value->objects.size() == 4);
+    CHECK(list.value->asOf == frozenAt);
+    const auto events = tryStoreCall([&] { return client.watch("things", list.value->asOf, 50, Freshness::MayBeStale); });
+    REQUIRE(events);
+    CHECK(events.value->events.size() == 2);
+}
+
 TEST_CASE_FIXTURE(StoreClientFixture, "watch_changesThenTimeout_returnsEventsThenNone")
 {
     store.put("things", "a", 1);
--- a/tests/standins/fakeobjectstore.cpp
+++ b/tests/standins/fakeobjectstore.cpp
@@ -151,6 +151,21 @@
     const std::lock_guard lock(mutex_);
     staleObjects_ = objects_;
     staleRevision_ = revision_;
+    frozenPages_.reset();
+}
+
+void FakeObjectStore::freezePages(Pages pages)
+{
+    freezeStaleReads();
+    const std::lock_guard lock(mutex_);
+    frozenPages_ = pages;
+}
+
+void FakeObjectStore::thawStaleReads()
+{
+    const std::lock_guard lock(mutex_);
+    staleObjects_.reset();
+    frozenPages_.reset();
 }
 
 void FakeObjectStore::compactHistory()
@@ -309,9 +324,9 @@
     }
 }
 
-const std::map<std::string, FakeObjectStore::Object> &FakeObjectStore::objectsOf(const std::string &kind, bool stale)
+bool FakeObjectStore::isFrozenPage(const std::string &after) const
 {
-    return stale && staleObjects_ ? (*staleObjects_)[kind] : objects_[kind];
+    return staleObjects_ && (!frozenPages_ || (*frozenPages_ == Pages::First) == after.empty());
 }
 
 void FakeObjectStore::list(const std::string &kind, const std::string &after, bool stale, HTTPServerResponse &response)
@@ -321,7 +336,8 @@
     changed_.wait(lock, [&] { return stopping_ || heldListKind_ != kind; });
     Json items = Json::array();
     bool more = false;
-    const auto &objects = objectsOf(kind, stale);
+    const bool frozen = stale && isFrozenPage(after);
+    const auto &objects = frozen ? (*staleObjects_)[kind] : objects_[kind];
     for (auto entry = objects.upper_bound(after); entry != objects.end(); ++entry) {
         if (items.size() == pageSize_) {
             more = true;
@@ -329,14 +345,14 @@
         }
         items.push_back(objectJson(entry->first, entry->second));
     }
-    answer(response, HTTPResponse::HTTP_OK, {{"items", items}, {"has-more", more}, {"as-of", stale && staleObjects_ ? staleRevision_ : revision_}});
+    answer(response, HTTPResponse::HTTP_OK, {{"items", items}, {"has-more", more}, {"as-of", frozen ? staleRevision_ : revision_}});
 }
 
 void FakeObjectStore::watch(const std::string &kind, std::uint64_t since, int waitMs, bool stale, HTTPServerRequest &request, HTTPServerResponse &response)
 {
     std::unique_lock lock(mutex_);
-    const auto isVisible
-        = [&](const Change &change) { return !watchEventsHeld_ && !change.skipped && !(stale && staleObjects_ && change.revision > staleRevision_); };
+    const auto isStale = [&] { return stale && staleObjects_ && !frozenPages_; };
+    const auto isVisible = [&](const Change &change) { return !watchEventsHeld_ && !change.skipped && !(isStale() && change.revision > staleRevision_); };
     const std::uint64_t watchResets = watchResets_;
     if (era_ != 0 && since > revision_) {
         answer(response, HTTPResponse::HTTP_GONE, Json::object());
@@ -356,15 +372,14 @@
         }
         if (!events.empty()) {
             const bool gone = since < compactedRevision_;
-            answer(response, gone ? HTTPResponse::HTTP_GONE : HTTPResponse::HTTP_OK,
-                {{"events", events}, {"as-of", stale && staleObjects_ ? staleRevision_ : revision_}});
+            answer(response, gone ? HTTPResponse::HTTP_GONE : HTTPResponse::HTTP_OK, {{"events", events}, {"as-of", isStale() ? staleRevision_ : revision_}});
             return;
         }
         ++waitingWatches_[kind];
         changed_.wait_for(lock, std::chrono::milliseconds(pollMs));
         --waitingWatches_[kind];
     }
-    answer(response, HTTPResponse::HTTP_OK, {{"events", Json::array()}, {"as-of", watchEventsHeld_ || (stale && staleObjects_) ? since : revision_}});
+    answer(response, HTTPResponse::HTTP_OK, {{"events", Json::array()}, {"as-of", watchEventsHeld_ || isStale() ? since : revision_}});
 }
 
 void FakeObjectStore::write(const std::string &kind, const std::string &name, HTTPServerRequest &request, HTTPServerResponse &response)
--- a/tests/standins/fakeobjectstore.h
+++ b/tests/standins/fakeobjectstore.h
@@ -52,6 +52,11 @@
     void releaseLists();
     /// From now on, lists and watches that allow stale answers return no changes made after this call.
     void freezeStaleReads();
+    enum class Pages { First, Later };
+    /// From now on, these pages of lists that allow stale answers show no changes made after this call; other pages and watches do.
+    void freezePages(Pages pages);
+    /// Ends freezeStaleReads() or freezePages().
+    void thawStaleReads();
     /// Discards the history of changes and closes the connections of waiting watches. A watch from an older revision than the
     /// current one gets status 410, but only after the next change of its kind.
     void compactHistory();
@@ -100,8 +105,8 @@
     /// Drops the call if the store is silent: returns true when the connection is to be closed.
     [[nodiscard]] bool dropIfSilent();
     void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
-    /// Objects of a kind that a call returns; @p stale if the call allows stale answers.
-    [[nodiscard]] const std::map<std::string, Object> &objectsOf(const std::string &kind, bool stale);
+    /// Whether a list that allows stale answers shows the frozen state on the page @p after that name.
+    [[nodiscard]] bool isFrozenPage(const std::string &after) const;
     void list(const std::string &kind, const std::string &after, bool stale, Poco::Net::HTTPServerResponse &response);
     void watch(
         const std::string &kind, std::uint64_t since, int waitMs, bool stale, Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
@@ -137,6 +142,8 @@
     /// State that stale answers show; empty until freezeStaleReads().
     std::optional<std::map<std::string, std::map<std::string, Object>>> staleObjects_;
     std::uint64_t staleRevision_ = 0;
+    /// Pages of lists that show that state; without a value, all pages and watches do.
+    std::optional<Pages> frozenPages_;
     std::deque<Change> history_;
     /// 0: answers state no era.
     std::uint64_t era_ = 0;
