--- a/src/libs/steering/incarnationmemory.cpp
+++ b/src/libs/steering/incarnationmemory.cpp
@@ -21,16 +21,47 @@
     }
 }
 
-bool IncarnationMemory::isLeaving(const Incarnation &incarnation, Base::MonotonicMs now) const
+void IncarnationMemory::recordReplaced(const Incarnation &incarnation, Base::MonotonicMs now)
+{
+    Fate &fate = fateOf(incarnation, now);
+    fate.ended = true;
+    fate.replaced = true;
+}
+
+void IncarnationMemory::recordLastWrite(const Incarnation &incarnation, std::int64_t sequence, Base::MonotonicMs now)
+{
+    Fate &fate = fateOf(incarnation, now);
+    fate.lastWrite = std::max(fate.lastWrite.value_or(sequence), sequence);
+}
+
+const IncarnationMemory::Fate *IncarnationMemory::find(const Incarnation &incarnation, Base::MonotonicMs now) const
 {
     const auto found = fates_.find(incarnation);
-    return found != fates_.end() && found->second.leaving && now < found->second.dropAt;
+    return found != fates_.end() && now < found->second.dropAt ? &found->second : nullptr;
+}
+
+bool IncarnationMemory::isLeaving(const Incarnation &incarnation, Base::MonotonicMs now) const
+{
+    const Fate *fate = find(incarnation, now);
+    return fate && fate->leaving;
 }
 
 bool IncarnationMemory::hasEnded(const Incarnation &incarnation, Base::MonotonicMs now) const
 {
-    const auto found = fates_.find(incarnation);
-    return found != fates_.end() && found->second.ended && now < found->second.dropAt;
+    const Fate *fate = find(incarnation, now);
+    return fate && fate->ended;
+}
+
+bool IncarnationMemory::wasReplaced(const Incarnation &incarnation, Base::MonotonicMs now) const
+{
+    const Fate *fate = find(incarnation, now);
+    return fate && fate->replaced;
+}
+
+bool IncarnationMemory::hasLaterWrite(const Incarnation &incarnation, std::int64_t sequence, Base::MonotonicMs now) const
+{
+    const Fate *fate = find(incarnation, now);
+    return fate && fate->lastWrite && sequence < *fate->lastWrite;
 }
 
 IncarnationMemory::Fate &IncarnationMemory::fateOf(const Incarnation &incarnation, Base::MonotonicMs now)
--- a/src/libs/steering/incarnationmemory.h
+++ b/src/libs/steering/incarnationmemory.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -24,19 +25,30 @@
 
     void recordLeaving(const Incarnation &incarnation, Base::MonotonicMs now);
     void recordEnded(const Incarnation &incarnation, Base::MonotonicMs now);
+    /// Another incarnation has registered under the id, so this one has ended for good.
+    void recordReplaced(const Incarnation &incarnation, Base::MonotonicMs now);
+    /// Number of the last write that is known of an incarnation that ended.
+    void recordLastWrite(const Incarnation &incarnation, std::int64_t sequence, Base::MonotonicMs now);
     /// The incarnation has written its registration again, so it hasn't ended.
     void recordAlive(const Incarnation &incarnation);
 
     [[nodiscard]] bool isLeaving(const Incarnation &incarnation, Base::MonotonicMs now) const;
     [[nodiscard]] bool hasEnded(const Incarnation &incarnation, Base::MonotonicMs now) const;
+    [[nodiscard]] bool wasReplaced(const Incarnation &incarnation, Base::MonotonicMs now) const;
+    /// Whether an incarnation that ended has made a later write than that of number @p sequence.
+    [[nodiscard]] bool hasLaterWrite(const Incarnation &incarnation, std::int64_t sequence, Base::MonotonicMs now) const;
 
 private:
     struct Fate {
         bool leaving = false;
         bool ended = false;
+        bool replaced = false;
+        std::optional<std::int64_t> lastWrite;
         Base::MonotonicMs dropAt = 0;
     };
 
+    /// What is known of an incarnation and not out of date; null when there is nothing.
+    [[nodiscard]] const Fate *find(const Incarnation &incarnation, Base::MonotonicMs now) const;
     Fate &fateOf(const Incarnation &incarnation, Base::MonotonicMs now);
 
     std::map<Incarnation, Fate> fates_;
