--- a/src/libs/http/clientsession.cpp
+++ b/src/libs/http/clientsession.cpp
@@ -86,9 +86,11 @@
 void ClientSession::abandon() noexcept
 {
     try {
-        // Fails when the peer has already closed the connection.
-        socket().shutdown();
-    } catch (const Poco::Exception &) {}
+        // Discards what the peer has not received, which a close would leave to the kernel to deliver.
+        socket().setLinger(true, 0);
+    } catch (const Poco::Exception &) {
+        // The peer has already closed the connection.
+    }
     socket().close();
 }
 
--- a/src/libs/http/clientsession.h
+++ b/src/libs/http/clientsession.h
@@ -30,7 +30,7 @@
     [[nodiscard]] RecordingSocketImpl &recording();
     /// Number of bytes received but not yet consumed by the HTTP classes.
     [[nodiscard]] int unreadBytes() const;
-    /// Closes the connection immediately, whatever its state.
+    /// Closes the connection with a reset (RST), whatever its state.
     void abandon() noexcept;
 
     /// Largest head of an answer, with the interim answers before it and what one receive may return beyond it.
--- a/src/libs/upstreams/upstreamcall.cpp
+++ b/src/libs/upstreams/upstreamcall.cpp
@@ -107,10 +107,13 @@
     result.end = readAnswer(request, result.answer);
     result.answerStarted = answerStarted_;
     result.interimStatesLeaving = interimStatesLeaving_;
-    if (result.end == CallOutcome::Answered && reusable_ && unsent_.empty() && stream_->input().empty()) {
+    if (result.end != CallOutcome::Answered) {
+        // Cancels a request that the upstream is executing. A close would leave bytes that a partition holds up to the kernel, which would
+        // deliver the request after it was given up.
+        stream_->abort();
+    } else if (reusable_ && unsent_.empty() && stream_->input().empty()) {
         pool_.put(upstream.id, std::move(stream_), keepAliveMs_);
     }
-    // If the upstream may still be executing the request, closing the connection cancels it.
     stream_.reset();
     return result;
 }
