Standalone list of VMs: an entry whose brackets or quotes don't match hides no other

Cause: only entries whose brackets match were told apart. Evidence: the case vmList_oneVm* with eight damaged entries, before and after a sound one, finds no list on (fails at the first of them).

Change: where the list can't be split, entries are found by a brace before one of their keys; they have no inner objects, and quotes in a text are escaped. A list that is cut off is rejected as before.

Measured: vmList_oneVm* passes with this change, 16 damaged lists and two cut ones.

--- a/src/libs/platform/vmlist.cpp
+++ b/src/libs/platform/vmlist.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace Wasabistair::Platform {
 
@@ -67,6 +68,85 @@
     return result;
 }
 
+/// Texts of the parts of a list of VMs.
+struct ListParts {
+    std::string_view version;
+    std::vector<std::string_view> entries;
+    /// Whether some entry has brackets or quotes that don't match.
+    bool isDamaged = false;
+};
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    return text.substr(0, text.find_last_not_of(blanks) + 1);
+}
+
+/// Whether an entry begins at the start of @p text.
+bool beginsEntry(std::string_view text)
+{
+    static const std::set<std::string_view> keys = {"id", "kind", "state", "host", "port", "nodePort", "region", "zone", "service", "since"};
+    if (!text.starts_with('{')) {
+        return false;
+    }
+    text = trimmed(text.substr(1));
+    const std::size_t end = text.starts_with('"') ? text.find('"', 1) : std::string_view::npos;
+    return end != std::string_view::npos && keys.contains(text.substr(1, end - 1));
+}
+
+/// Text from the start of @p text to the first closing brace outside quotes; empty when there is none. Entries have no inner objects.
+std::string_view flatObject(std::string_view text)
+{
+    bool quoted = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (quoted && text[i] == '\\') {
+            ++i;
+        } else if (text[i] == '"') {
+            quoted = !quoted;
+        } else if (!quoted && text[i] == '}') {
+            return text.substr(0, i + 1);
+        }
+    }
+    return {};
+}
+
+/// Finds the entries in @p text, of which some are damaged. Quotes inside a text are escaped, so that no text holds the start of an entry.
+std::vector<std::string_view> findEntries(std::string_view text)
+{
+    std::vector<std::string_view> entries;
+    for (std::size_t at = text.find('{'); at != std::string_view::npos; at = text.find('{', at + 1)) {
+        if (beginsEntry(text.substr(at))) {
+            entries.push_back(flatObject(text.substr(at)));
+        }
+    }
+    return entries;
+}
+
+std::optional<ListParts> splitList(std::string_view text)
+{
+    if (const auto members = Base::splitJson(text)) {
+        const std::string_view list = Base::findMember(*members, "vms");
+        const auto parts = list.starts_with('[') ? Base::splitJson(list) : std::nullopt;
+        if (!parts) {
+            return std::nullopt;
+        }
+        ListParts result{Base::findMember(*members, "version"), {}};
+        for (const Base::JsonPart &part : *parts) {
+            result.entries.push_back(part.value);
+        }
+        return result;
+    }
+    const Base::JsonPrefix prefix = Base::splitJsonPrefix(text, "vms");
+    // A list that was cut off must not count as a whole one.
+    const std::string_view end = trimmed(text);
+    const bool isWhole = end.ends_with('}') && trimmed(end.substr(0, end.size() - 1)).ends_with(']');
+    if (prefix.rest.key != "vms" || !prefix.rest.value.starts_with('[') || !isWhole) {
+        return std::nullopt;
+    }
+    return ListParts{Base::findMember(prefix.members, "version"), findEntries(prefix.rest.value), true};
+}
+
 } // namespace
 
 Json vmListToJson(const VmList &list)
@@ -87,27 +167,25 @@
 
 std::optional<VmList> readVmList(std::string_view text)
 {
-    const auto members = Base::splitJson(text);
-    const std::string_view entries = members ? Base::findMember(*members, "vms") : std::string_view();
-    const auto parts = entries.starts_with('[') ? Base::splitJson(entries) : std::nullopt;
-    const Base::JsonRead version = Base::readJson(members ? Base::findMember(*members, "version") : std::string_view());
-    if (!parts || !version.value.is_number_unsigned()) {
+    const auto list = splitList(text);
+    const Base::JsonRead version = Base::readJson(list ? list->version : std::string_view());
+    if (!list || !version.value.is_number_unsigned()) {
         return std::nullopt;
     }
-    VmList list{version.value.get<Version>(), {}};
+    VmList read{version.value.get<Version>(), {}};
     std::size_t unreadable = 0;
-    for (const Base::JsonPart &part : *parts) {
+    for (const std::string_view entry : list->entries) {
         try {
-            list.vms.push_back(vmFromJson(Base::readJson(part.value).value));
+            read.vms.push_back(vmFromJson(Base::readJson(entry).value));
         } catch (const Json::exception &) {
             ++unreadable;
         }
     }
-    if (unreadable > 0) {
-        Base::log(Base::LogLevel::Warning, "vms-not-used", {{"listVersion", list.version}, {"vms", list.vms.size()}, {"unreadable", unreadable}});
+    if (unreadable > 0 || list->isDamaged) {
+        Base::log(Base::LogLevel::Warning, "vms-not-used", {{"listVersion", read.version}, {"vms", read.vms.size()}, {"unreadable", unreadable}});
     }
-    std::sort(list.vms.begin(), list.vms.end());
-    return list;
+    std::sort(read.vms.begin(), read.vms.end());
+    return read;
 }
 
 ListDelta deltaBetween(const VmList &from, const VmList &to)
--- a/tests/auto/platform/tst_vmlist.cpp
+++ b/tests/auto/platform/tst_vmlist.cpp
@@ -52,7 +52,19 @@
         REQUIRE(list);
         CHECK(list == VmList{7, {vm}});
     }
-    for (const char *text : {"", "[]", "{}", R"({"vms":[]})", R"({"version":7})", R"({"version":7,"vms":{}})", R"({"version":-1,"vms":[]})"}) {
+    // Guards against an entry that was cut short or damaged so that its brackets or quotes don't match.
+    for (const char *damaged : {R"({"name":"vm-2")", R"({"id":"vm-2","zone":"z)", R"({"id":"vm-2","service":["a"})", R"({"id":"vm-2"}})", R"({"id":{"x":1})",
+             R"({"id":"vm-2","host":"a\"})", "{", "{\"id\":\"}"}) {
+        CAPTURE(damaged);
+        for (const std::string &entries : {std::string(damaged) + "," + entry, entry + "," + damaged}) {
+            CAPTURE(entries);
+            const auto list = readVmList(R"({"version":7,"vms":[)" + entries + "]}");
+            REQUIRE(list);
+            CHECK(list == VmList{7, {vm}});
+        }
+    }
+    for (const char *text : {"", "[]", "{}", R"({"vms":[]})", R"({"version":7})", R"({"version":7,"vms":[)", R"({"version":7,"vms":[{"id":"a"},{"id")",
+             R"({"version":7,"vms":{}})", R"({"version":-1,"vms":[]})"}) {
         CAPTURE(text);
         CHECK_FALSE(readVmList(text));
     }
