--- a/tests/standins/scriptedupstream.h
+++ b/tests/standins/scriptedupstream.h
@@ -48,7 +48,7 @@
 
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::vector<ReceivedRequest> received() const;
-    /// Number of connections that the client closed during ScriptedAnswer::delayMs.
+    /// Number of connections that the client closed or reset during ScriptedAnswer::delayMs.
     [[nodiscard]] int abandoned() const;
 
     /// A complete answer to @p request in the platform's format. @p extraHeaders are lines that end in CRLF.
@@ -59,6 +59,8 @@
     void serve(Poco::Net::StreamSocket socket);
     /// Reads and answers one request; false if the connection ends with it.
     bool serveRequest(Poco::Net::StreamSocket &socket, std::string &buffer);
+    /// Whether the client has ended the connection, which is readable.
+    [[nodiscard]] static bool isClosedOrReset(Poco::Net::StreamSocket &socket);
     /// Waits for @p durationMs; false if the client closes the connection or the upstream stops before.
     bool waitUnlessClosed(Poco::Net::StreamSocket &socket, int durationMs);
 
